--- /dev/null
+++ b/chart/machine.go
@@ -0,0 +1,278 @@
+package chart
+
+import (
+	"fmt"
+	"time"
+)
+
+// Binding connects the names in a chart file to code. C is the context that
+// guards and actions receive, usually a pointer to the object that owns the
+// instance.
+type Binding[C any] struct {
+	Guards  map[string]func(C) bool
+	Actions map[string]func(C)
+	// Delays resolves timer delays written as "$name".
+	Delays map[string]func(C) time.Duration
+	// Observe, if set, is called after each transition.
+	Observe func(C, Transition)
+}
+
+// Transition reports one taken transition.
+type Transition struct {
+	Chart string
+	Event string
+	From  string
+	To    string
+}
+
+// Machine is a chart bound to code. It is immutable and serves any number of
+// instances.
+type Machine[C any] struct {
+	chart   *Chart
+	binding Binding[C]
+}
+
+// Bind checks that the chart's guards, actions and delays and the binding's are
+// the same sets of names.
+func Bind[C any](c *Chart, b Binding[C]) (*Machine[C], error) {
+	guards, actions, delays := c.names()
+	var faults []string
+	faults = append(faults, compareNames("guard", guards, b.Guards)...)
+	faults = append(faults, compareNames("action", actions, b.Actions)...)
+	faults = append(faults, compareNames("delay", delays, b.Delays)...)
+	if len(faults) > 0 {
+		return nil, &FaultsError{File: c.name, Faults: faults}
+	}
+	return &Machine[C]{chart: c, binding: b}, nil
+}
+
+// MustBind is Bind for charts that are embedded in the binary. It panics on a
+// fault, since the binary itself is then broken.
+func MustBind[C any](c *Chart, b Binding[C]) *Machine[C] {
+	m, err := Bind(c, b)
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func compareNames[V any](kind string, used map[string]bool, bound map[string]V) []string {
+	var faults []string
+	for _, name := range sortedKeys(used) {
+		if _, ok := bound[name]; !ok {
+			faults = append(faults, fmt.Sprintf("%s %q is not bound", kind, name))
+		}
+	}
+	for _, name := range sortedKeys(bound) {
+		if !used[name] {
+			faults = append(faults, fmt.Sprintf("%s %q is bound but the chart does not use it", kind, name))
+		}
+	}
+	return faults
+}
+
+// names collects the guards, actions and delays that the chart refers to.
+func (c *Chart) names() (guards, actions, delays map[string]bool) {
+	guards, actions, delays = map[string]bool{}, map[string]bool{}, map[string]bool{}
+	add := func(set map[string]bool, names ...string) {
+		for _, n := range names {
+			if n != "" {
+				set[n] = true
+			}
+		}
+	}
+	for _, s := range c.states {
+		add(actions, s.entry...)
+		add(actions, s.exit...)
+		for _, t := range s.timers {
+			add(delays, t.named)
+		}
+		for _, list := range s.on {
+			for _, t := range list {
+				add(guards, t.guard)
+				add(actions, t.actions...)
+			}
+		}
+	}
+	return guards, actions, delays
+}
+
+// Instance is one life cycle that follows a chart. One goroutine owns it.
+type Instance[C any] struct {
+	machine   *Machine[C]
+	context   C
+	current   *state
+	deadlines []deadline
+}
+
+// deadline is a running timer of an active state.
+type deadline struct {
+	owner *state
+	event string
+	at    time.Time
+}
+
+// New starts an instance in the chart's initial state.
+func (m *Machine[C]) New(now time.Time, context C) *Instance[C] {
+	i := &Instance[C]{machine: m, context: context, current: m.chart.root}
+	i.enter(now, m.chart.root, m.chart.root.initial)
+	return i
+}
+
+// State returns the name of the innermost active state.
+func (i *Instance[C]) State() string { return i.current.name }
+
+// In reports whether the named state is active, as the innermost state or as
+// one of its ancestors.
+func (i *Instance[C]) In(name string) bool {
+	for s := i.current; s.parent != nil; s = s.parent {
+		if s.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Done reports whether the instance has reached a final state.
+func (i *Instance[C]) Done() bool { return i.current.final }
+
+// Fire offers an event. The result is false if no transition took it, either
+// because the active states do not handle it or because every guard refused.
+// Firing an event that the chart does not declare panics.
+func (i *Instance[C]) Fire(now time.Time, event string) (Transition, bool) {
+	if !i.machine.chart.events[event] {
+		panic(fmt.Sprintf("chart %s: event %q is not declared", i.machine.chart.name, event))
+	}
+	for s := i.current; s.parent != nil; s = s.parent {
+		for _, t := range s.on[event] {
+			if t.guard != "" && !i.machine.binding.Guards[t.guard](i.context) {
+				continue
+			}
+			return i.take(now, t), true
+		}
+	}
+	return Transition{}, false
+}
+
+// Deadline returns the time of the earliest running timer.
+func (i *Instance[C]) Deadline() (time.Time, bool) {
+	var first time.Time
+	for n, d := range i.deadlines {
+		if n == 0 || d.at.Before(first) {
+			first = d.at
+		}
+	}
+	return first, len(i.deadlines) > 0
+}
+
+// Tick fires the timers that are due, earliest first, and reports how many
+// fired.
+func (i *Instance[C]) Tick(now time.Time) int {
+	fired := 0
+	for {
+		n := i.dueTimer(now)
+		if n < 0 {
+			return fired
+		}
+		event := i.deadlines[n].event
+		i.deadlines = append(i.deadlines[:n], i.deadlines[n+1:]...)
+		i.Fire(now, event)
+		fired++
+	}
+}
+
+func (i *Instance[C]) dueTimer(now time.Time) int {
+	due := -1
+	for n, d := range i.deadlines {
+		if d.at.After(now) {
+			continue
+		}
+		if due < 0 || d.at.Before(i.deadlines[due].at) {
+			due = n
+		}
+	}
+	return due
+}
+
+func (i *Instance[C]) take(now time.Time, t transition) Transition {
+	from := i.current
+	if t.target == nil {
+		i.run(t.actions)
+	} else {
+		common := commonAncestor(from, t.target)
+		i.exit(from, common)
+		i.run(t.actions)
+		i.enter(now, common, t.target)
+	}
+	taken := Transition{Chart: i.machine.chart.name, Event: t.event, From: from.name, To: i.current.name}
+	if i.machine.binding.Observe != nil {
+		i.machine.binding.Observe(i.context, taken)
+	}
+	return taken
+}
+
+func (i *Instance[C]) run(actions []string) {
+	for _, name := range actions {
+		i.machine.binding.Actions[name](i.context)
+	}
+}
+
+// exit leaves states from the innermost one up to, but without, the ancestor.
+func (i *Instance[C]) exit(from, ancestor *state) {
+	for s := from; s != ancestor; s = s.parent {
+		i.run(s.exit)
+		i.stopTimers(s)
+	}
+}
+
+func (i *Instance[C]) stopTimers(s *state) {
+	kept := i.deadlines[:0]
+	for _, d := range i.deadlines {
+		if d.owner != s {
+			kept = append(kept, d)
+		}
+	}
+	i.deadlines = kept
+}
+
+// enter activates the states below the ancestor down to the target and then
+// the target's initial states.
+func (i *Instance[C]) enter(now time.Time, ancestor, target *state) {
+	var path []*state
+	for s := target; s != ancestor; s = s.parent {
+		path = append(path, s)
+	}
+	for n := len(path) - 1; n >= 0; n-- {
+		i.activate(now, path[n])
+	}
+	for s := target.initial; s != nil; s = s.initial {
+		i.activate(now, s)
+	}
+}
+
+func (i *Instance[C]) activate(now time.Time, s *state) {
+	i.current = s
+	for _, t := range s.timers {
+		delay := t.delay
+		if t.named != "" {
+			delay = i.machine.binding.Delays[t.named](i.context)
+		}
+		i.deadlines = append(i.deadlines, deadline{owner: s, event: t.event, at: now.Add(delay)})
+	}
+	i.run(s.entry)
+}
+
+// commonAncestor returns the innermost state that contains both, without being
+// either of them, so that a transition of a state to itself leaves and enters it.
+func commonAncestor(a, b *state) *state {
+	above := make(map[*state]bool)
+	for s := a.parent; s != nil; s = s.parent {
+		above[s] = true
+	}
+	for s := b.parent; s != nil; s = s.parent {
+		if above[s] {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/codec/codec.go
@@ -0,0 +1,93 @@
+// Package codec turns messages into CBOR frames and back. A frame is the kind
+// (one byte), the sender's clock stamp (8 bytes, big endian) and the message as
+// a CBOR array.
+package codec
+
+import (
+	"encoding/binary"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/anvilpoint/anvilpoint/hlc"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+)
+
+// MaxFrameBytes is the largest frame that a link accepts.
+const MaxFrameBytes = 4 << 20
+
+const headerBytes = 1 + 8
+
+// Limits on nested data, so that a hostile frame cannot exhaust memory.
+const (
+	maxArrayElements = 65536
+	maxMapPairs      = 65536
+	maxNestedLevels  = 16
+)
+
+// ErrFrame marks a frame that is too short, too large, of an unknown kind or
+// not valid CBOR.
+var ErrFrame = errors.New("invalid frame")
+
+// Codec encodes and decodes frames. It is immutable.
+type Codec struct {
+	encode cbor.EncMode
+	decode cbor.DecMode
+}
+
+// New returns a codec.
+func New() (*Codec, error) {
+	encode, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		return nil, errors.Wrap(err, "CBOR encoder")
+	}
+	decode, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNestedLevels,
+	}.DecMode()
+	if err != nil {
+		return nil, errors.Wrap(err, "CBOR decoder")
+	}
+	return &Codec{encode: encode, decode: decode}, nil
+}
+
+// Encode returns the frame of an envelope.
+func (c *Codec) Encode(e message.Envelope) ([]byte, error) {
+	body, err := c.encode.Marshal(e.Message)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode message kind %d", message.KindOf(e.Message))
+	}
+	frame := make([]byte, headerBytes, headerBytes+len(body))
+	frame[0] = byte(message.KindOf(e.Message))
+	binary.BigEndian.PutUint64(frame[1:], uint64(e.Stamp))
+	frame = append(frame, body...)
+	if len(frame) > MaxFrameBytes {
+		return nil, errors.Wrapf(ErrFrame, "%d bytes are more than %d", len(frame), MaxFrameBytes)
+	}
+	return frame, nil
+}
+
+// Decode reads a frame. The error wraps ErrFrame.
+func (c *Codec) Decode(frame []byte) (message.Envelope, error) {
+	if len(frame) < headerBytes || len(frame) > MaxFrameBytes {
+		return message.Envelope{}, errors.Wrapf(ErrFrame, "length %d", len(frame))
+	}
+	m := message.New(message.Kind(frame[0]))
+	if m == nil {
+		return message.Envelope{}, errors.Wrapf(ErrFrame, "unknown kind %d", frame[0])
+	}
+	if err := c.decode.Unmarshal(frame[headerBytes:], m); err != nil {
+		return message.Envelope{}, errors.Wrapf(ErrFrame, "kind %d: %v", frame[0], err)
+	}
+	stamp := hlc.Stamp(binary.BigEndian.Uint64(frame[1:headerBytes]))
+	return message.Envelope{Stamp: stamp, Message: m}, nil
+}
+
+// EncodePayload encodes the payload of a nested protocol.
+func (c *Codec) EncodePayload(v any) ([]byte, error) { return c.encode.Marshal(v) }
+
+// DecodePayload reads the payload of a nested protocol.
+func (c *Codec) DecodePayload(data []byte, v any) error {
+	return errors.Wrap(c.decode.Unmarshal(data, v), "payload")
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,424 @@
+// Package message defines the messages that anvilpoint processes exchange. They
+// are plain values; package codec turns them into frames. The empty field with
+// the toarray tag keeps frames small: a struct is encoded as an array without
+// field names, so new fields are only added at the end.
+package message
+
+import (
+	"github.com/anvilpoint/anvilpoint/hlc"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+)
+
+// ProtocolVersion is the version that Hello carries. A peer with another major
+// version is refused.
+const ProtocolVersion = 1
+
+// Role is the kind of a process.
+type Role string
+
+// The roles.
+const (
+	RoleEntry   Role = "entry"
+	RoleSidecar Role = "sidecar"
+)
+
+// Message is any message between processes.
+type Message interface{ kind() Kind }
+
+// Envelope carries a message and the sender's clock stamp.
+type Envelope struct {
+	Stamp   hlc.Stamp
+	Message Message
+}
+
+// Kind is the frame type on the wire. Numbers are never reused.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	KindHello Kind = iota + 1
+	KindHeartbeat
+	KindOffer
+	KindWithdraw
+	KindAccepted
+	KindRefused
+	KindWithdrawn
+	KindTooLate
+	KindChunk
+	KindDone
+	KindFailed
+	KindCancel
+	KindCredit
+	KindAttach
+	KindBook
+	KindReserved
+	KindBookCommit
+	KindBookResult
+	KindSeal
+	KindSealed
+	KindReleased
+	KindRecordDigest
+	KindRecordPull
+	KindRecordPush
+	KindMembers
+	KindUsage
+	KindGroup
+)
+
+// Digest names one accepted record: the revision and the hash of its content.
+// Digests are ordered by revision, then by hash.
+type Digest struct {
+	_        struct{} `cbor:",toarray"`
+	Revision ident.Revision
+	Hash     uint64
+}
+
+// Less reports whether the digest is older than the other.
+func (d Digest) Less(other Digest) bool {
+	if d.Revision != other.Revision {
+		return d.Revision < other.Revision
+	}
+	return d.Hash < other.Hash
+}
+
+// Hello is the first message on a link, in both directions.
+type Hello struct {
+	_           struct{} `cbor:",toarray"`
+	Version     int
+	Role        Role
+	Instance    ident.InstanceID
+	Server      ident.ServerID
+	Domain      ident.FailureDomain
+	Region      ident.Region
+	Incarnation ident.Incarnation
+	Record      Digest
+}
+
+// Load is what a sidecar knows about its backend server.
+type Load struct {
+	_       struct{} `cbor:",toarray"`
+	Running int
+	// QueuedCost is the waiting work by class in cost units (tokens), most
+	// urgent class first.
+	QueuedCost [3]int64
+	Slots      int
+	// TokensPerSecond is the recent rate over all running requests.
+	TokensPerSecond float64
+	// AgeMS is the age of the backend server's own report, in milliseconds.
+	AgeMS int64
+	// Window is the credit by class: the cost that the receiving entry may send
+	// beyond what it has outstanding.
+	Window [3]int64
+	// GroupState is the state of the expert-parallel group, empty without one.
+	GroupState string
+	// StepMS is the recent mean step time of the group in milliseconds.
+	StepMS float64
+}
+
+// Heartbeat keeps a link alive and carries load and digests.
+type Heartbeat struct {
+	_        struct{} `cbor:",toarray"`
+	Sequence uint64
+	// Echo is the last sequence received from the peer.
+	Echo     uint64
+	Load     Load
+	Draining bool
+	Record   Digest
+}
+
+// Offer asks a sidecar to run one attempt of a request.
+type Offer struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Attempt ident.Attempt
+	Account ident.ClientAccount
+	// Weight is the account's weight in the record.
+	Weight float64
+	Class  ident.PriorityClass
+	// RemainingMS is the time until the caller's deadline, in milliseconds.
+	RemainingMS int64
+	// Cost is the estimate in tokens, prefill and decode.
+	Cost int64
+	// Resume is the number of tokens that the caller already has.
+	Resume uint64
+	// Prefix is the hash of the prompt's prefix.
+	Prefix uint64
+	Record Digest
+	// Service and the request line are set for calls of plain services.
+	Service ident.ServiceName
+	Method  string
+	Path    string
+	Header  [][2]string
+	Body    []byte
+}
+
+// Withdraw takes an attempt back that has not started.
+type Withdraw struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Attempt ident.Attempt
+}
+
+// Accepted says that the attempt waits in the sidecar's queue.
+type Accepted struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Attempt ident.Attempt
+}
+
+// Refused says that the attempt was not run and never will be.
+type Refused struct {
+	_            struct{} `cbor:",toarray"`
+	Request      ident.RequestID
+	Attempt      ident.Attempt
+	Reason       outcome.Reason
+	RetryAfterMS int64
+}
+
+// Withdrawn says that the attempt was taken back and never will be run.
+type Withdrawn struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Attempt ident.Attempt
+}
+
+// TooLate says that the attempt had started when Withdraw arrived.
+type TooLate struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Attempt ident.Attempt
+}
+
+// Chunk is one piece of an answer. Sequences start at 1 and have no gaps over
+// all attempts of a request. Sequence 0 carries the head of a plain answer.
+type Chunk struct {
+	_        struct{} `cbor:",toarray"`
+	Request  ident.RequestID
+	Attempt  ident.Attempt
+	Sequence uint64
+	Payload  []byte
+}
+
+// Done ends an answer. Last is the sequence of its last chunk.
+type Done struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Attempt ident.Attempt
+	Last    uint64
+	Status  int
+	Header  [][2]string
+	Prompt  int64
+	Output  int64
+}
+
+// Failed says that an attempt ended without a whole answer.
+type Failed struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Attempt ident.Attempt
+	Kind    outcome.Kind
+	Reason  outcome.Reason
+}
+
+// Cancel stops an attempt because nobody waits for it.
+type Cancel struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Attempt ident.Attempt
+}
+
+// Credit lets the sidecar send further bytes of a stream.
+type Credit struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Attempt ident.Attempt
+	Bytes   int64
+}
+
+// Attach asks the holder of a stream to send it from the given sequence on.
+type Attach struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	// Attempt is chosen by the attaching entry and marks the chunks sent to it.
+	Attempt ident.Attempt
+	// Account must be the account that made the request.
+	Account ident.ClientAccount
+	// After is the last sequence that the caller has.
+	After uint64
+}
+
+// KeyID identifies a booking.
+type KeyID struct {
+	_       struct{} `cbor:",toarray"`
+	Account ident.ClientAccount
+	Service ident.ServiceName
+	Key     ident.IdempotencyKey
+}
+
+// Book asks the home of a key to reserve it.
+type Book struct {
+	_       struct{} `cbor:",toarray"`
+	Request ident.RequestID
+	Key     KeyID
+	// Fingerprint is the hash of method, path and body.
+	Fingerprint uint64
+	RemainingMS int64
+	Record      Digest
+}
+
+// Reserved answers Book when the key may run at this home.
+type Reserved struct {
+	_           struct{} `cbor:",toarray"`
+	Request     ident.RequestID
+	Incarnation ident.Incarnation
+	Nonce       uint64
+}
+
+// BookCommit makes the home run the reserved key. It carries the call.
+type BookCommit struct {
+	_           struct{} `cbor:",toarray"`
+	Request     ident.RequestID
+	Incarnation ident.Incarnation
+	Nonce       uint64
+	RemainingMS int64
+	Method      string
+	Path        string
+	Header      [][2]string
+	Body        []byte
+}
+
+// BookResult ends a booking call: the stored answer, or why there is none.
+type BookResult struct {
+	_            struct{} `cbor:",toarray"`
+	Request      ident.RequestID
+	Kind         outcome.Kind
+	Reason       outcome.Reason
+	RetryAfterMS int64
+	// Replayed says that the answer was stored by an earlier call.
+	Replayed bool
+	Status   int
+	Header   [][2]string
+	Body     []byte
+}
+
+// Seal asks an earlier home to refuse the key for good, or to give its result.
+type Seal struct {
+	_      struct{} `cbor:",toarray"`
+	Key    KeyID
+	NewTo  ident.ServerID
+	Record Digest
+}
+
+// SealState is what an earlier home knows about a key.
+type SealState string
+
+// The answers to Seal.
+const (
+	SealSealed  SealState = "sealed"
+	SealRan     SealState = "ran"
+	SealUnknown SealState = "unknown"
+)
+
+// Sealed answers Seal.
+type Sealed struct {
+	_           struct{} `cbor:",toarray"`
+	Key         KeyID
+	State       SealState
+	Incarnation ident.Incarnation
+	Result      BookResult
+	Fingerprint uint64
+}
+
+// Released says that the sender has given up the keys that the record moved away.
+type Released struct {
+	_           struct{} `cbor:",toarray"`
+	Service     ident.ServiceName
+	Server      ident.ServerID
+	Incarnation ident.Incarnation
+	Record      Digest
+}
+
+// RecordDigest announces the record in force at the sender.
+type RecordDigest struct {
+	_      struct{} `cbor:",toarray"`
+	Record Digest
+}
+
+// RecordPull asks for the record if the sender's is newer than Have.
+type RecordPull struct {
+	_    struct{} `cbor:",toarray"`
+	Have Digest
+}
+
+// Lineage is one earlier set of replicas of a service.
+type Lineage struct {
+	_        struct{} `cbor:",toarray"`
+	Service  ident.ServiceName
+	Revision ident.Revision
+	Replicas []ident.ServerID
+}
+
+// RecordPush carries a record, whole or as a patch against Base.
+type RecordPush struct {
+	_      struct{} `cbor:",toarray"`
+	Record Digest
+	// Base is the record that Patch applies to. It is zero for a whole record.
+	Base    Digest
+	Whole   []byte
+	Patch   []byte
+	Lineage []Lineage
+}
+
+// MemberState is what the sender believes of a process.
+type MemberState string
+
+// The member states.
+const (
+	MemberAlive     MemberState = "alive"
+	MemberSuspected MemberState = "suspected"
+	MemberDead      MemberState = "dead"
+	MemberLeft      MemberState = "left"
+)
+
+// Member is one entry of a membership digest.
+type Member struct {
+	_           struct{} `cbor:",toarray"`
+	Instance    ident.InstanceID
+	Role        Role
+	Domain      ident.FailureDomain
+	Address     string
+	Incarnation ident.Incarnation
+	State       MemberState
+}
+
+// Members spreads changes of membership.
+type Members struct {
+	_       struct{} `cbor:",toarray"`
+	Members []Member
+}
+
+// AccountUsage is the cost that one account was served lately.
+type AccountUsage struct {
+	_       struct{} `cbor:",toarray"`
+	Account ident.ClientAccount
+	Class   ident.PriorityClass
+	Cost    int64
+}
+
+// Usage is the digest that processes exchange so that accounts are treated
+// alike over all replicas.
+type Usage struct {
+	_        struct{} `cbor:",toarray"`
+	Accounts []AccountUsage
+}
+
+// Group carries one message of the expert-map protocol between the sidecars of
+// a group. Payload is encoded by the codec of that protocol.
+type Group struct {
+	_       struct{} `cbor:",toarray"`
+	Group   ident.GroupID
+	From    ident.Rank
+	To      ident.Rank
+	Payload []byte
+}
--- /dev/null
+++ b/internal/outcome/outcome.go
@@ -0,0 +1,72 @@
+// Package outcome defines how a request can end. Outcomes are values that pass
+// through decisions and messages; they are not Go errors.
+package outcome
+
+// Kind says whether the work of a request was run.
+type Kind string
+
+const (
+	// Completed means that the work ran and its result is known.
+	Completed Kind = "completed"
+	// NotRun means that the work provably did not run and will not run.
+	NotRun Kind = "not-run"
+	// Unknown means that the work may or may not have run.
+	Unknown Kind = "unknown"
+)
+
+// Reason is a stable code that tells why a request ended as it did.
+type Reason string
+
+// Reasons, as they appear in problem documents, metrics and events.
+const (
+	ReasonNone             Reason = ""
+	ReasonUnauthenticated  Reason = "unauthenticated"
+	ReasonForbidden        Reason = "forbidden"
+	ReasonNotFound         Reason = "not-found"
+	ReasonMalformed        Reason = "malformed"
+	ReasonTooLarge         Reason = "too-large"
+	ReasonQueueFull        Reason = "queue-full"
+	ReasonAccountShare     Reason = "account-over-share"
+	ReasonDeadline         Reason = "deadline"
+	ReasonDraining         Reason = "draining"
+	ReasonNoServer         Reason = "no-backend-server"
+	ReasonNotHome          Reason = "not-home"
+	ReasonWithdrawn        Reason = "withdrawn"
+	ReasonCanceled         Reason = "canceled"
+	ReasonLinkLost         Reason = "link-lost"
+	ReasonServerFailed     Reason = "backend-server-failed"
+	ReasonKeyTooOld        Reason = "key-older-than-memory"
+	ReasonKeyFuture        Reason = "key-from-the-future"
+	ReasonKeyReused        Reason = "key-reused-with-other-request"
+	ReasonKeySealed        Reason = "key-sealed"
+	ReasonReserveExpired   Reason = "reservation-expired"
+	ReasonRetryBudget      Reason = "retry-budget-spent"
+	ReasonStreamGone       Reason = "stream-gone"
+	ReasonConfiguration    Reason = "configuration-missing"
+	ReasonInternal         Reason = "internal"
+	ReasonPredecessor      Reason = "predecessor-unresolved"
+	ReasonGroupReforming   Reason = "group-reforming"
+	ReasonServerSuspected  Reason = "backend-server-suspected"
+	ReasonDuplicateAttempt Reason = "duplicate-attempt"
+)
+
+// Outcome is how a request, an attempt or a booking ended.
+type Outcome struct {
+	Kind   Kind
+	Reason Reason
+	// Detail is one sentence for the caller. It holds no prompt, answer or key.
+	Detail string
+}
+
+// DidNotRun returns a NotRun outcome.
+func DidNotRun(reason Reason, detail string) Outcome {
+	return Outcome{Kind: NotRun, Reason: reason, Detail: detail}
+}
+
+// CannotTell returns an Unknown outcome.
+func CannotTell(reason Reason, detail string) Outcome {
+	return Outcome{Kind: Unknown, Reason: reason, Detail: detail}
+}
+
+// Done returns a Completed outcome.
+func Done() Outcome { return Outcome{Kind: Completed} }
--- /dev/null
+++ b/task/mailbox.go
@@ -0,0 +1,150 @@
+// Package task runs tasks that own their state and talk by messages. A task
+// receives through bounded mailboxes, blocks while it waits, and has an owner
+// that hears of its end. Tasks run on github.com/sourcegraph/conc.
+package task
+
+import "context"
+
+// FullPolicy says what a mailbox does with a message when it is full.
+type FullPolicy int
+
+const (
+	// Block makes the sender wait until there is room or its context ends.
+	Block FullPolicy = iota
+	// RejectNew refuses the new message.
+	RejectNew
+	// DropOldest discards the oldest waiting message to make room.
+	DropOldest
+)
+
+// SendResult is the outcome of a send.
+type SendResult int
+
+const (
+	// Delivered means that the message is in the mailbox.
+	Delivered SendResult = iota
+	// ReplacedOldest means that the message is in the mailbox and an older one was dropped.
+	ReplacedOldest
+	// Rejected means that the mailbox was full.
+	Rejected
+	// Canceled means that the sender's context ended while it waited.
+	Canceled
+	// Closed means that the owner no longer receives.
+	Closed
+)
+
+// Accepted reports whether the message is in the mailbox.
+func (r SendResult) Accepted() bool { return r == Delivered || r == ReplacedOldest }
+
+// Mailbox is a bounded queue of messages with one receiving owner and any
+// number of senders.
+type Mailbox[M any] struct {
+	messages chan M
+	closed   chan struct{}
+	policy   FullPolicy
+}
+
+// NewMailbox returns a mailbox that holds up to capacity messages.
+func NewMailbox[M any](capacity int, policy FullPolicy) *Mailbox[M] {
+	return &Mailbox[M]{
+		messages: make(chan M, capacity),
+		closed:   make(chan struct{}),
+		policy:   policy,
+	}
+}
+
+// Receive returns the channel from which the owner receives.
+func (m *Mailbox[M]) Receive() <-chan M { return m.messages }
+
+// Closed returns a channel that is closed once the owner has stopped receiving.
+func (m *Mailbox[M]) Closed() <-chan struct{} { return m.closed }
+
+// Close tells senders that nobody receives any more. Only the owner calls it,
+// once.
+func (m *Mailbox[M]) Close() { close(m.closed) }
+
+// Len returns the number of waiting messages.
+func (m *Mailbox[M]) Len() int { return len(m.messages) }
+
+// Send puts a message into the mailbox by the mailbox's policy.
+func (m *Mailbox[M]) Send(ctx context.Context, message M) SendResult {
+	select {
+	case <-m.closed:
+		return Closed
+	default:
+	}
+	switch m.policy {
+	case RejectNew:
+		return m.sendOrReject(message)
+	case DropOldest:
+		return m.sendOrDrop(ctx, message)
+	default:
+		return m.sendOrWait(ctx, message)
+	}
+}
+
+func (m *Mailbox[M]) sendOrWait(ctx context.Context, message M) SendResult {
+	select {
+	case m.messages <- message:
+		return Delivered
+	case <-m.closed:
+		return Closed
+	case <-ctx.Done():
+		return Canceled
+	}
+}
+
+func (m *Mailbox[M]) sendOrReject(message M) SendResult {
+	select {
+	case m.messages <- message:
+		return Delivered
+	default:
+		return Rejected
+	}
+}
+
+func (m *Mailbox[M]) sendOrDrop(ctx context.Context, message M) SendResult {
+	select {
+	case m.messages <- message:
+		return Delivered
+	default:
+	}
+	select {
+	case <-m.messages:
+	default:
+	}
+	if result := m.sendOrWait(ctx, message); result != Delivered {
+		return result
+	}
+	return ReplacedOldest
+}
+
+// Ask sends a request that carries a reply channel and waits for the answer.
+// The result is false if the request was not accepted, the owner closed the
+// mailbox, or the context ended.
+func Ask[M, R any](ctx context.Context, m *Mailbox[M], request func(reply chan<- R) M) (R, bool) {
+	reply := make(chan R, 1)
+	var none R
+	if !m.Send(ctx, request(reply)).Accepted() {
+		return none, false
+	}
+	select {
+	case answer := <-reply:
+		return answer, true
+	case <-m.closed:
+		return lastAnswer(reply)
+	case <-ctx.Done():
+		return none, false
+	}
+}
+
+// lastAnswer takes an answer that was sent before the mailbox closed.
+func lastAnswer[R any](reply <-chan R) (R, bool) {
+	select {
+	case answer := <-reply:
+		return answer, true
+	default:
+		var none R
+		return none, false
+	}
+}
