--- /dev/null
+++ b/internal/decide/expertmap/random_test.go
@@ -0,0 +1,129 @@
+package expertmap_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+)
+
+var (
+	steps     = flag.Uint64("group.steps", 20000, "engine steps of the randomised runs, over all seeds")
+	states    = flag.Int("group.states", 2000, "limit on the states of the exhaustive search, per case")
+	firstSeed = flag.Uint64("group.seed", 1, "first seed of the randomised runs")
+)
+
+// Guards against a step in which two ranks use different maps, under lost,
+// delayed, doubled and reordered messages, pauses, crashes of sidecars and
+// engines, and one-way partitions; and against a group that does not run again
+// once the faults are over.
+func TestRandomFaults(t *testing.T) {
+	var total, switched, aborted, formed uint64
+	for seed := *firstSeed; total < *steps; seed++ {
+		w := runSeed(t, seed)
+		total += w.engines.Completed()
+		switched += uint64(w.switched)
+		aborted += uint64(w.aborted)
+		formed += uint64(w.formed)
+	}
+	t.Logf("steps %d, rank switches %d, aborted %d, formations entered %d, steps with two maps 0", total, switched, aborted, formed)
+	must.Positive(t, switched)
+	must.Positive(t, aborted)
+}
+
+func runSeed(t *testing.T, seed uint64) *world {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 7))
+	w := newWorld(2+rng.IntN(7), rng.IntN(2) == 0)
+	faults := rng.IntN(5)
+	for range 30000 {
+		w.random(rng, faults)
+		if len(w.engines.TwoMaps()) > 0 {
+			t.Fatalf("seed %d: two maps in one step: %+v", seed, w.engines.TwoMaps())
+		}
+	}
+	w.recover(t, seed, rng)
+	return w
+}
+
+func (w *world) random(rng *rand.Rand, faults int) {
+	r := ident.Rank(rng.IntN(w.n))
+	switch p := rng.IntN(1000); {
+	case p < 520:
+		if len(w.bag) > 0 {
+			w.deliver(rng.IntN(len(w.bag)))
+		}
+	case p < 850:
+		w.engines.Enter(r)
+	case p < 960:
+		w.advance(time.Duration(1+rng.IntN(10)) * time.Millisecond)
+	case p < 970:
+		w.swap(rng)
+	case p < 980:
+		if w.awake(r) {
+			w.step(r, w.engines.State(r))
+		}
+	case faults > 0 && rng.IntN(6-faults) == 0:
+		w.fault(rng, r)
+	}
+	if len(w.bag) > 400 {
+		w.lose(rng.IntN(len(w.bag)))
+	}
+}
+
+func (w *world) fault(rng *rand.Rand, r ident.Rank) {
+	pair := [2]ident.Rank{r, ident.Rank(rng.IntN(w.n))}
+	switch p := rng.IntN(100); {
+	case p < 35 && len(w.bag) > 0:
+		w.lose(rng.IntN(len(w.bag)))
+	case p < 65 && len(w.bag) > 0:
+		if f := w.bag[rng.IntN(len(w.bag))]; f.wire != nil {
+			w.bag = append(w.bag, f)
+		}
+	case p < 72:
+		w.start(r)
+		w.paused[r] = w.now
+	case p < 75:
+		w.engines.Crash(r)
+	case p < 80:
+		w.paused[r] = w.now.Add(time.Duration(rng.IntN(2000)) * time.Millisecond)
+	case p < 85:
+		w.cut[pair] = true
+	case p < 88:
+		w.engines.Stall(r, true)
+	default:
+		w.engines.Stall(r, false)
+		clear(w.cut)
+	}
+}
+
+// recover ends all faults and checks that the group forms, runs and switches.
+func (w *world) recover(t *testing.T, seed uint64, rng *rand.Rand) {
+	t.Helper()
+	clear(w.cut)
+	for r := range w.nodes {
+		w.paused[r] = w.now
+		w.engines.Stall(ident.Rank(r), false)
+	}
+	before, switched := w.engines.Completed(), w.switched
+	for range 400 {
+		for len(w.bag) > 0 {
+			w.deliver(rng.IntN(len(w.bag)))
+		}
+		w.advance(40 * time.Millisecond)
+		for r := range w.nodes {
+			w.step(ident.Rank(r), w.engines.State(ident.Rank(r)))
+			w.engines.Enter(ident.Rank(r))
+		}
+		if rng.IntN(10) == 0 {
+			w.swap(rng)
+		}
+		must.Len(t, 0, w.engines.TwoMaps(), must.Sprintf("seed %d", seed))
+	}
+	must.Greater(t, before+100, w.engines.Completed(), must.Sprintf("seed %d: the group does not run after the faults", seed))
+	must.Greater(t, switched, w.switched, must.Sprintf("seed %d: the group does not switch after the faults", seed))
+}
