balance: plan moves and copies of experts by gain per byte

Cause: ranks run in lock-step, so the rank with the hottest experts sets the step time; replanning from scratch moves far too many bytes.

Change: local search from the present map (exchanges and copies that relieve the slowest rank), a prefix of moves that pays for its bytes over the horizon, bounded portions, smoothed loads and speeds; packing from scratch as baseline.

--- /dev/null
+++ b/internal/decide/balance/plan_test.go
@@ -0,0 +1,125 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/balance"
+	"github.com/anvilpoint/anvilpoint/internal/decide/expertmap"
+	"github.com/anvilpoint/anvilpoint/internal/standin/group"
+)
+
+func ones(n int) []float64 {
+	v := make([]float64, n)
+	for i := range v {
+		v[i] = 1
+	}
+	return v
+}
+
+// Guards against a plan that loses an expert, leaves the shape of the map or
+// exceeds its portion, whatever the loads, speeds and lost ranks.
+func TestPlansKeepEveryExpert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ranks := rapid.IntRange(2, 8).Draw(t, "ranks")
+		experts := rapid.IntRange(ranks, 24).Draw(t, "experts")
+		spare := rapid.IntRange(experts/ranks+1, 16).Draw(t, "spare")
+		load := rapid.SliceOfN(rapid.Float64Range(0, 100), experts, experts).Draw(t, "load")
+		speeds := ones(ranks)
+		speeds[rapid.IntRange(0, ranks-1).Draw(t, "slow")] = rapid.SampledFrom([]float64{0, 0.3, 0.7, 1}).Draw(t, "speed")
+		m := balance.Initial(1, experts, balance.Slots(ranks, experts, spare))
+		c := balance.DefaultConfig()
+		c.MaxCopies = 1000
+		plan := balance.Make(balance.Input{Config: c, Map: m, Load: [][]float64{load}, Speeds: speeds})
+		next, ok := m.Apply(plan.Changes())
+		must.True(t, ok)
+		live := make(map[expertmap.Expert]bool)
+		for r, slots := range next.Layers[0] {
+			must.Len(t, len(m.Layers[0][r]), slots)
+			for _, e := range slots {
+				live[e] = live[e] || speeds[r] > 0
+			}
+		}
+		missing := 0
+		for e := range experts {
+			if !live[expertmap.Expert(e)] {
+				missing++
+			}
+		}
+		must.Eq(t, plan.Uncovered, missing)
+	})
+}
+
+// Guards against an expert hotter than a rank can take staying on one rank.
+func TestHotExpertIsCopied(t *testing.T) {
+	load := ones(64)
+	load[3] = 40
+	m := balance.Initial(1, 64, balance.Slots(8, 64, 16))
+	plan := balance.Make(balance.Input{Config: balance.DefaultConfig(), Map: m, Load: [][]float64{load}, Speeds: ones(8)})
+	next, _ := m.Apply(plan.Changes())
+	times := balance.Times(next.Layers[0], load, ones(8))
+	must.Less(t, 1.10*best(ones(8))*103, slowest(times))
+	must.Greater(t, slowest(balance.Times(m.Layers[0], load, ones(8)))/2, slowest(balance.Times(m.Layers[0], load, ones(8)))-slowest(times))
+}
+
+// Guards against a straggler that comes and goes making the map flap: the second
+// slow spell must cost far less than the first.
+func TestStragglerThatComesAndGoes(t *testing.T) {
+	d := newDay(2, 1, 1)
+	speeds := balance.NewSpeeds(figureRanks, 30*time.Minute)
+	at := time.Unix(0, 0)
+	var spells []int
+	for spell := range 6 {
+		before := d.planned.copies
+		for n := range 10 {
+			sample := ones(figureRanks)
+			if n < 5 {
+				sample[7] = 0.7
+			}
+			at = at.Add(interval)
+			speeds.Observe(at, sample)
+			d.speeds = speeds.Speeds()
+			d.observe(spell*10 + n)
+			d.replan()
+		}
+		spells = append(spells, d.planned.copies-before)
+	}
+	t.Logf("copies moved in each spell: %v", spells)
+	must.Less(t, spells[0]/2, spells[5])
+}
+
+// Guards against bytes spent on a gain that does not pay for them.
+func TestGainMustPayForBytes(t *testing.T) {
+	d := newDay(3, 1, 1)
+	load := [][]float64{d.popularity.Shares(0)}
+	m := balance.Initial(1, figureExperts, d.slots)
+	c := balance.DefaultConfig()
+	plan := balance.Make(balance.Input{Config: c, Map: m, Load: load, Speeds: d.speeds})
+	must.Positive(t, plan.Copies)
+	c.Horizon = 0.1
+	none := balance.Make(balance.Input{Config: c, Map: m, Load: load, Speeds: d.speeds})
+	must.Zero(t, none.Copies)
+}
+
+// BenchmarkLayer plans one layer of 256 experts from a map that knows nothing
+// of the popularity, the longest search there is.
+func BenchmarkLayer(b *testing.B) {
+	for _, c := range []struct{ ranks, spare int }{{32, 32}, {256, 32}, {256, 256}} {
+		b.Run(fmt.Sprintf("%d ranks, %d spare", c.ranks, c.spare), func(b *testing.B) {
+			p := group.NewPopularity(rand.New(rand.NewPCG(1, 1)), 1, 256, 1, 0.7, time.Hour)
+			m := balance.Initial(1, 256, balance.Slots(c.ranks, 256, c.spare))
+			in := balance.Input{Config: balance.DefaultConfig(), Map: m, Load: [][]float64{p.Shares(0)}, Speeds: ones(c.ranks)}
+			var plan balance.Plan
+			for b.Loop() {
+				plan = balance.Make(in)
+			}
+			b.ReportMetric(float64(len(plan.Moves)), "moves")
+			b.ReportMetric(plan.After, "skew-after")
+		})
+	}
+}
