standin: add the configuration service

Tests and the dev command need a configuration service that can be watched, that counts calls and that can be down or stale.

--- /dev/null
+++ b/internal/standin/config/http.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/anvilpoint/anvilpoint/internal/standin"
+)
+
+// RevisionHeader carries the store revision of a value.
+const RevisionHeader = "Anvilpoint-Store-Revision"
+
+// maxWait bounds the wait of one watch.
+const maxWait = 60 * time.Second
+
+// Published answers PUT.
+type Published struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Handler serves readers, the operators' PUT, GET /v1/stats, and POST
+// /v1/faults/{down|stale|heal}.
+func (s *Store) Handler() http.Handler {
+	router := httprouter.New()
+	router.GET("/v1/values/:key", s.get)
+	router.PUT("/v1/values/:key", s.put)
+	router.GET("/v1/stats", s.getStats)
+	router.POST("/v1/faults/:kind", s.postFault)
+	return router
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	after, wait, ok := watchOf(r)
+	if !ok {
+		standin.Refuse(w, http.StatusBadRequest, "after must be a store revision and wait a duration of at most 60s")
+		return
+	}
+	ctx := r.Context()
+	if wait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait)
+		defer cancel()
+	}
+	s.write(w, s.read(ctx, p.ByName("key"), after, wait > 0))
+}
+
+// read asks the task and takes the request back when the context ends first.
+func (s *Store) read(ctx context.Context, key string, after uint64, wait bool) answer {
+	reply := make(chan answer, 1)
+	r := &read{key: key, after: after, wait: wait, reply: reply}
+	if !s.mailbox.Send(ctx, r).Accepted() {
+		return answer{kind: cutOff}
+	}
+	select {
+	case a := <-reply:
+		return a
+	case <-ctx.Done():
+		s.mailbox.Send(context.Background(), &forget{read: r})
+		return answer{kind: unchanged}
+	case <-s.mailbox.Closed():
+		return answer{kind: cutOff}
+	}
+}
+
+func (s *Store) write(w http.ResponseWriter, a answer) {
+	switch a.kind {
+	case found:
+		w.Header().Set(RevisionHeader, strconv.FormatUint(a.revision, 10))
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write means that the reader has gone.
+		_, _ = w.Write(a.data)
+	case unchanged:
+		w.WriteHeader(http.StatusNotModified)
+	case missing:
+		standin.Refuse(w, http.StatusNotFound, "the key has no value")
+	case tooMany:
+		w.Header().Set("Retry-After", "1")
+		standin.Refuse(w, http.StatusTooManyRequests, "more reads per second than the service allows")
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func watchOf(r *http.Request) (after uint64, wait time.Duration, ok bool) {
+	query := r.URL.Query()
+	var err error
+	if text := query.Get("after"); text != "" {
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return 0, 0, false
+		}
+	}
+	if text := query.Get("wait"); text != "" {
+		if wait, err = time.ParseDuration(text); err != nil || wait < 0 || wait > maxWait {
+			return 0, 0, false
+		}
+	}
+	return after, wait, true
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+	if err != nil {
+		standin.Refuse(w, http.StatusRequestEntityTooLarge, "the value is larger than 1 MiB or was cut off")
+		return
+	}
+	revision, err := s.Put(r.Context(), p.ByName("key"), data)
+	if err != nil {
+		standin.Stopped(w)
+		return
+	}
+	w.Header().Set(RevisionHeader, strconv.FormatUint(revision, 10))
+	standin.WriteJSON(w, http.StatusOK, Published{Revision: revision})
+}
+
+func (s *Store) getStats(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	stats, err := s.Stats(r.Context())
+	if err != nil {
+		standin.Stopped(w)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, stats)
+}
+
+func (s *Store) postFault(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	kinds := map[string]func(context.Context) error{
+		"down": s.Down, "heal": s.Heal,
+		"stale": func(ctx context.Context) error { return s.Stale(ctx, 0) },
+	}
+	apply, ok := kinds[p.ByName("kind")]
+	if !ok {
+		standin.WriteJSON(w, http.StatusBadRequest, standin.Fault{Error: "unknown fault", Valid: []string{"down", "stale", "heal"}})
+		return
+	}
+	if err := apply(r.Context()); err != nil {
+		standin.Stopped(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
