standin: add the plain service and its ledger of executions

The ledger counts executions by idempotency key over all servers of a service and outlives them, as the ground truth for bookings. The test found that net/http repeats a request with an Idempotency-Key header on a new connection when the first one breaks; the test's client prevents that by clearing GetBody.

--- /dev/null
+++ b/internal/standin/service/http.go
@@ -0,0 +1,112 @@
+package service
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/standin"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+const maxBodyBytes = 4 << 20
+
+// KeyHeader names the header that carries the idempotency key.
+const KeyHeader = "Idempotency-Key"
+
+// Answer is the body of every answer. A client checks with it that the answer
+// belongs to its own request.
+type Answer struct {
+	Service ident.ServiceName `json:"service"`
+	Server  ident.ServerID    `json:"server"`
+	Key     string            `json:"key,omitempty"`
+	// Execution is the number of this run of the key, from 1.
+	Execution int    `json:"execution"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	// BodySHA256 is the hash of the request body in hexadecimal.
+	BodySHA256 string `json:"body_sha256"`
+}
+
+// Handler serves any path, and GET /truth/executions for tests.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /truth/executions", s.config.Ledger.Handler())
+	mux.HandleFunc("/", s.call)
+	return mux
+}
+
+// Handler lists the executions, one JSON line per key.
+func (l *Ledger) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		list, err := l.Executions(r.Context())
+		if err != nil {
+			standin.Stopped(w)
+			return
+		}
+		w.Header().Set("Content-Type", "application/x-ndjson")
+		encoder := json.NewEncoder(w)
+		for _, e := range list {
+			if encoder.Encode(e) != nil {
+				return
+			}
+		}
+	})
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		standin.Refuse(w, http.StatusRequestEntityTooLarge, "the body is too large or was cut off")
+		return
+	}
+	p, ok := task.Ask(r.Context(), s.mailbox, func(reply chan<- plan) serverRequest { return &begin{reply: reply} })
+	if !ok {
+		standin.Stopped(w)
+		return
+	}
+	s.execute(w, r, body, p)
+}
+
+// execute runs the work in the middle of the service time. A call that is cut
+// before that has not run; one that is cut after it has.
+func (s *Server) execute(w http.ResponseWriter, r *http.Request, body []byte, p plan) {
+	if !sleep(r.Context(), p.time/2) {
+		panic(http.ErrAbortHandler)
+	}
+	key := r.Header.Get(KeyHeader)
+	n, err := s.config.Ledger.Executed(r.Context(), s.config.Service, key, s.config.Server)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if p.die {
+		s.mailbox.Send(context.Background(), &die{})
+		panic(http.ErrAbortHandler)
+	}
+	if !sleep(r.Context(), p.time-p.time/2) {
+		panic(http.ErrAbortHandler)
+	}
+	hash := sha256.Sum256(body)
+	standin.WriteJSON(w, http.StatusOK, Answer{
+		Service: s.config.Service, Server: s.config.Server, Key: key, Execution: n,
+		Method: r.Method, Path: r.URL.Path, BodySHA256: hex.EncodeToString(hash[:]),
+	})
+	s.config.Ledger.Answered(r.Context(), s.config.Service, key)
+}
+
+// sleep reports whether the time passed before the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,108 @@
+package service_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/standin/service"
+)
+
+// start runs a service on a ledger behind an HTTP server.
+func start(t *testing.T, ledger *service.Ledger, c service.Config) (*service.Server, string) {
+	t.Helper()
+	c.Service, c.Ledger = "bookings", ledger
+	s := service.New(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	go func() { _ = s.Run(ctx); done <- struct{}{} }()
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(func() { server.Close(); cancel(); <-done })
+	return s, server.URL
+}
+
+func startLedger(t *testing.T) *service.Ledger {
+	t.Helper()
+	l := service.NewLedger()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = l.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l
+}
+
+func book(ctx context.Context, url, key string) (service.Answer, error) {
+	var answer service.Answer
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/loads", strings.NewReader("17 t"))
+	if err != nil {
+		return answer, err
+	}
+	request.Header.Set(service.KeyHeader, key)
+	// net/http sends a request that carries Idempotency-Key again on another
+	// connection when the first one breaks, unless the body cannot be rewound.
+	request.GetBody = nil
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return answer, json.NewDecoder(response.Body).Decode(&answer)
+}
+
+// Guards against a ledger that loses or merges executions: it is the ground
+// truth for the promise that a booking runs at most once.
+func TestExecutionsAreCountedOverServers(t *testing.T) {
+	ledger := startLedger(t)
+	_, first := start(t, ledger, service.Config{Server: "s0"})
+	_, second := start(t, ledger, service.Config{Server: "s1"})
+	for n, url := range []string{first, second} {
+		answer, err := book(t.Context(), url, "k1")
+		must.NoError(t, err)
+		must.Eq(t, n+1, answer.Execution)
+		must.Eq(t, "/loads", answer.Path)
+	}
+	_, err := book(t.Context(), first, "k2")
+	must.NoError(t, err)
+	list, err := ledger.Executions(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, []service.Execution{
+		{Service: "bookings", Key: "k1", Executions: 2, Answered: 2, Servers: []ident.ServerID{"s0", "s1"}},
+		{Service: "bookings", Key: "k2", Executions: 1, Answered: 1, Servers: []ident.ServerID{"s0"}},
+	}, list)
+}
+
+// Guards against a death in the middle of a call that does not count the work
+// that it did, or that still answers.
+func TestDeathInTheMiddle(t *testing.T) {
+	ledger := startLedger(t)
+	s, url := start(t, ledger, service.Config{Server: "s0", DieAt: 2})
+	_, err := book(t.Context(), url, "k1")
+	must.NoError(t, err)
+	_, err = book(t.Context(), url, "k2")
+	must.Error(t, err)
+	<-s.Died()
+	list, err := ledger.Executions(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, 1, list[1].Executions)
+	must.Eq(t, 0, list[1].Answered)
+}
+
+// Guards against a call that is cut before its work and counted all the same.
+func TestCallCutBeforeTheWork(t *testing.T) {
+	ledger := startLedger(t)
+	_, url := start(t, ledger, service.Config{Server: "s0", Time: time.Hour})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := book(ctx, url, "k1")
+	must.Error(t, err)
+	list, err := ledger.Executions(t.Context())
+	must.NoError(t, err)
+	must.Len(t, 0, list)
+}
