standin: add the model engine

Continuous batching with a step time that grows with the batch, prefix cache, priorities, cancel, resume from a token count, lagging load reports, late and gappy cache events, and orders with fencing tokens that are enforced or ignored.

--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,164 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+const mailboxCapacity = 4096
+
+// loaderGrace is how long a stop waits for downloads to notice.
+const loaderGrace = time.Second
+
+// ErrStopped means that the engine's task has ended.
+var ErrStopped = errors.New("the model engine stand-in has stopped")
+
+// Engine is the task that owns the batch, the prefix cache and the orders of
+// one engine process.
+type Engine struct {
+	config  Config
+	mailbox *task.Mailbox[request]
+	client  *http.Client
+	loaders *task.Group
+
+	batch   *batch
+	cache   *prefixCache
+	orders  *orders
+	slow    float64
+	leaving time.Time
+	report  report
+	late    uint64
+}
+
+// report is the load as it was at one time.
+type report struct {
+	at     time.Time
+	tokens uint64
+	load   Load
+}
+
+// New returns an engine process. Run serves it.
+func New(c Config) *Engine {
+	c = c.withDefaults()
+	return &Engine{
+		config:  c,
+		mailbox: task.NewMailbox[request](mailboxCapacity, task.Block),
+		client:  &http.Client{Transport: &http.Transport{DialContext: dialer(c.Network)}},
+		batch:   newBatch(c),
+		cache:   newPrefixCache(c),
+		orders:  newOrders(c),
+		slow:    1,
+	}
+}
+
+// Run owns the state until the context ends. It then cuts every stream.
+func (e *Engine) Run(ctx context.Context) error {
+	defer e.mailbox.Close()
+	e.loaders = task.NewGroup(ctx)
+	defer e.client.CloseIdleConnections()
+	refresh := time.NewTicker(e.config.LoadLag)
+	defer refresh.Stop()
+	step := time.NewTimer(time.Hour)
+	step.Stop()
+	defer step.Stop()
+	e.refresh(time.Now())
+	for {
+		select {
+		case r := <-e.mailbox.Receive():
+			r.serve(e, time.Now())
+		case <-step.C:
+			e.batch.finishStep(time.Now(), e.cache)
+		case <-refresh.C:
+			e.refresh(time.Now())
+		case <-ctx.Done():
+			e.batch.cut(time.Now())
+			return e.loaders.Stop(loaderGrace)
+		}
+		if duration, started := e.batch.startStep(time.Now(), e.cache, e.slow); started {
+			step.Reset(duration)
+		}
+	}
+}
+
+// refresh takes a new load report.
+func (e *Engine) refresh(now time.Time) {
+	rate := 0.0
+	if elapsed := now.Sub(e.report.at).Seconds(); elapsed > 0 && !e.report.at.IsZero() {
+		rate = float64(e.batch.tokens-e.report.tokens) / elapsed
+	}
+	e.report = report{at: now, tokens: e.batch.tokens, load: Load{
+		Running:         len(e.batch.running),
+		Queued:          len(e.batch.queue),
+		Slots:           e.config.Slots,
+		TokensPerSecond: rate,
+		CachedPrefixes:  e.cache.len(),
+		Leaving:         !e.leaving.IsZero(),
+	}}
+}
+
+// Slow multiplies the time of every step from now on; 1 is the normal speed.
+func (e *Engine) Slow(ctx context.Context, factor float64) error {
+	return e.tell(ctx, func(reply chan<- struct{}) request { return &slowDown{factor: factor, reply: reply} })
+}
+
+// Leave marks the engine as leaving, or takes the mark back.
+func (e *Engine) Leave(ctx context.Context, leaving bool) error {
+	return e.tell(ctx, func(reply chan<- struct{}) request { return &leave{leaving: leaving, reply: reply} })
+}
+
+func (e *Engine) tell(ctx context.Context, message func(chan<- struct{}) request) error {
+	if _, ok := task.Ask(ctx, e.mailbox, message); !ok {
+		return ErrStopped
+	}
+	return nil
+}
+
+// State returns the engine's own state, without a lag.
+func (e *Engine) State(ctx context.Context) (State, error) {
+	s, ok := task.Ask(ctx, e.mailbox, func(reply chan<- State) request { return &askState{reply: reply} })
+	if !ok {
+		return State{}, ErrStopped
+	}
+	return s, nil
+}
+
+// Load is the answer to GET /v1/load.
+type Load struct {
+	Running         int     `json:"running"`
+	Queued          int     `json:"queued"`
+	Slots           int     `json:"slots"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+	CachedPrefixes  int     `json:"cached_prefixes"`
+	Leaving         bool    `json:"leaving"`
+	AgeMS           int64   `json:"age_ms"`
+}
+
+// State is the answer to GET /v1/state.
+type State struct {
+	Server  ident.ServerID `json:"server"`
+	Role    string         `json:"role"`
+	Models  []Model        `json:"models"`
+	Leaving bool           `json:"leaving"`
+	// Fencing is the highest fencing token of an obeyed order.
+	Fencing       ident.FencingToken `json:"fencing"`
+	ChecksFencing bool               `json:"checks_fencing"`
+	Orders        OrderCounts        `json:"orders"`
+	Requests      RequestCounts      `json:"requests"`
+}
+
+// RequestCounts is the ground truth about the engine's completions.
+type RequestCounts struct {
+	Accepted uint64 `json:"accepted"`
+	Finished uint64 `json:"finished"`
+	Canceled uint64 `json:"canceled"`
+	Tokens   uint64 `json:"tokens"`
+	// AcceptedLate counts completions that arrived more than 2 s after the engine
+	// began to leave.
+	AcceptedLate uint64 `json:"accepted_late"`
+}
--- /dev/null
+++ b/internal/standin/engine/http.go
@@ -0,0 +1,125 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/anvilpoint/anvilpoint/internal/standin"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+const maxBodyBytes = 8 << 20
+
+// CacheEvents answers GET /v1/cache-events.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// Handler serves the engine's interface.
+func (e *Engine) Handler() http.Handler {
+	router := httprouter.New()
+	router.POST("/v1/chat/completions", e.postCompletion)
+	router.DELETE("/v1/requests/:id", e.deleteRequest)
+	router.GET("/v1/load", e.getLoad)
+	router.GET("/v1/state", e.getState)
+	router.GET("/v1/cache-events", e.getCacheEvents)
+	router.POST("/v1/orders", e.postOrder)
+	router.PUT("/v1/leaving", e.putLeaving)
+	if e.config.Group != nil {
+		router.Handler(http.MethodGet, "/v1/group", e.config.Group)
+		router.Handler(http.MethodPost, "/v1/group/:call", e.config.Group)
+	}
+	return router
+}
+
+func (e *Engine) deleteRequest(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	found, ok := task.Ask(r.Context(), e.mailbox, func(reply chan<- bool) request {
+		return &cancel{id: p.ByName("id"), reply: reply}
+	})
+	switch {
+	case !ok:
+		standin.Stopped(w)
+	case !found:
+		standin.Refuse(w, http.StatusNotFound, "no such request is queued or running")
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	load, ok := task.Ask(r.Context(), e.mailbox, func(reply chan<- Load) request { return &askLoad{reply: reply} })
+	if !ok {
+		standin.Stopped(w)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, load)
+}
+
+func (e *Engine) getState(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	state, err := e.State(r.Context())
+	if err != nil {
+		standin.Stopped(w)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, state)
+}
+
+func (e *Engine) getCacheEvents(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var after uint64
+	if text := r.URL.Query().Get("after"); text != "" {
+		var err error
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			standin.Refuse(w, http.StatusBadRequest, "after must be the sequence of a cache event")
+			return
+		}
+	}
+	events, ok := task.Ask(r.Context(), e.mailbox, func(reply chan<- []CacheEvent) request {
+		return &askEvents{after: after, reply: reply}
+	})
+	if !ok {
+		standin.Stopped(w)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, CacheEvents{Events: events})
+}
+
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var order Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&order); err != nil {
+		standin.Refuse(w, http.StatusBadRequest, "the body is not an order: "+err.Error())
+		return
+	}
+	if fault := order.check(); fault != "" {
+		standin.Refuse(w, http.StatusBadRequest, fault)
+		return
+	}
+	reply, ok := task.Ask(r.Context(), e.mailbox, func(reply chan<- OrderReply) request {
+		return &giveOrder{order: order, reply: reply}
+	})
+	switch {
+	case !ok:
+		standin.Stopped(w)
+	case reply.Error != "":
+		standin.WriteJSON(w, http.StatusConflict, reply)
+	default:
+		standin.WriteJSON(w, http.StatusOK, reply)
+	}
+}
+
+// putLeaving sets the engine's leaving mark from outside: PUT /v1/leaving with
+// the body true or false.
+func (e *Engine) putLeaving(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var leaving bool
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&leaving); err != nil {
+		standin.Refuse(w, http.StatusBadRequest, "the body must be true or false")
+		return
+	}
+	if err := e.Leave(r.Context(), leaving); err != nil {
+		standin.Stopped(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
