timeline: merge, filter and draw the events of many processes

Cause: operators need one time line over all processes, with causes before effects although wall clocks differ.

--- /dev/null
+++ b/internal/timeline/timeline_test.go
@@ -0,0 +1,75 @@
+package timeline_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/hlc"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/timeline"
+)
+
+// run writes what the function emits and returns the event lines.
+func run(t *testing.T, emit func(w *eventlog.Writer)) string {
+	t.Helper()
+	var out bytes.Buffer
+	w := eventlog.NewWriter(&out)
+	emit(w)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	must.NoError(t, w.Run(ctx))
+	return out.String()
+}
+
+// Guards against a time line that shows an effect before its cause when the
+// wall clocks of two processes disagree.
+func TestCausesComeBeforeEffects(t *testing.T) {
+	ahead := hlc.New(func() time.Time { return time.Unix(1000, 0) })
+	behind := hlc.New(func() time.Time { return time.Unix(10, 0) })
+	sender := run(t, func(w *eventlog.Writer) {
+		must.True(t, w.Log("entry-0", 1, ahead).Emit(eventlog.Event{Name: "request.offered", Request: "r-1.a"}))
+	})
+	sent := ahead.Now()
+	receiver := run(t, func(w *eventlog.Writer) {
+		log := w.Log("sidecar-0", 2, behind)
+		must.True(t, log.Emit(eventlog.Event{Name: "process.started"}))
+		behind.Observe(sent)
+		must.True(t, log.Emit(eventlog.Event{Name: "request.accepted", Request: "r-1.a"}))
+	})
+	lines, skipped, err := timeline.Merge([]timeline.Source{
+		{Name: "b", Reader: strings.NewReader(receiver)},
+		{Name: "a", Reader: strings.NewReader(sender)},
+	}, timeline.Filter{})
+	must.NoError(t, err)
+	must.SliceEmpty(t, skipped)
+	var names []string
+	for _, l := range lines {
+		names = append(names, l.Event)
+	}
+	must.Eq(t, []string{"process.started", "request.offered", "request.accepted"}, names)
+	lines, _, err = timeline.Merge([]timeline.Source{{Name: "b", Reader: strings.NewReader(receiver)}}, timeline.Filter{Event: "request.", Instance: "sidecar-0", Request: "r-1.a"})
+	must.NoError(t, err)
+	must.Len(t, 1, lines)
+}
+
+// Guards against one cut-off line hiding the rest of a crashed process's events.
+func TestCutOffLineIsSkipped(t *testing.T) {
+	text := run(t, func(w *eventlog.Writer) {
+		log := w.Log("entry-0", 1, hlc.New(time.Now))
+		must.True(t, log.Emit(eventlog.Event{Name: "request.offered", Detail: "<script>"}))
+		must.True(t, log.Emit(eventlog.Event{Name: "request.done"}))
+	})
+	lines, skipped, err := timeline.Merge([]timeline.Source{{Name: "a", Reader: strings.NewReader(text[:len(text)-20])}}, timeline.Filter{})
+	must.NoError(t, err)
+	must.Len(t, 1, lines)
+	must.Eq(t, 2, skipped[0].Line)
+	var page bytes.Buffer
+	must.NoError(t, timeline.WriteHTML(&page, lines))
+	must.StrNotContains(t, page.String(), "<script>\"")
+	must.StrContains(t, page.String(), "&lt;script&gt;")
+}
