--- /dev/null
+++ b/internal/load/table.go
@@ -0,0 +1,73 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// WriteTable writes summaries side by side for people: the measures of the
+// users first, then accounts and reasons of the first summary.
+func WriteTable(out io.Writer, summaries []*Summary) error {
+	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "policy\twork\toffered\tcompleted\tin target\tnot run\tunknown\tbroken\tnot sent\tfirst p50 ms\tp95 ms\tp99 ms\tgap p95 ms\t\n")
+	for _, s := range summaries {
+		rows := append(append([]*Service(nil), s.Classes...), s.Small, s.Large)
+		for _, row := range rows {
+			if row.Offered > 0 {
+				writeRow(t, s.Policy, row)
+			}
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, s := range summaries {
+		if err := writeTotals(out, s); err != nil {
+			return err
+		}
+	}
+	return writeAccounts(out, summaries[0])
+}
+
+func writeRow(out io.Writer, policy string, row *Service) {
+	fmt.Fprintf(out, "%s\t%s\t%d\t%.1f%%\t%.1f%%\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t\n",
+		policy, row.Name, row.Offered, 100*row.Share(), 100*row.InTargetShare(),
+		row.NotRun, row.Unknown, row.Broken, row.NotSent, row.FirstP50, row.FirstP95, row.FirstP99, row.GapP95)
+}
+
+func writeTotals(out io.Writer, s *Summary) error {
+	_, err := fmt.Fprintf(out, "\n%s: Jain's index of the small accounts %.3f; bookings run twice %s; bookings falsely not-run %s; group steps %s, with two maps %s; skew p50 %.3f p95 %.3f; bytes rebalanced %d; score %.3f\n",
+		s.Policy, s.Jain, known(int64(s.BookingsRunTwice)), known(int64(s.FalseNotRun)), known(s.Steps), known(s.StepsWithTwoMaps),
+		s.SkewP50, s.SkewP95, s.RebalancedBytes, s.Score)
+	if err != nil {
+		return err
+	}
+	for _, list := range []struct {
+		name   string
+		counts []Count
+	}{{"refusals", s.Reasons}, {"faults", s.Faults}} {
+		for _, c := range list.counts {
+			if _, err := fmt.Fprintf(out, "  %s: %s %d\n", list.name, c.Name, c.Count); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func known(n int64) string {
+	if n < 0 {
+		return "not known"
+	}
+	return fmt.Sprint(n)
+}
+
+func writeAccounts(out io.Writer, s *Summary) error {
+	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "\naccount (%s)\toffered\tcompleted\tin target\ttokens\tfirst p95 ms\t\n", s.Policy)
+	for _, row := range s.Accounts {
+		fmt.Fprintf(t, "%s\t%d\t%.1f%%\t%.1f%%\t%d\t%.1f\t\n", row.Name, row.Offered, 100*row.Share(), 100*row.InTargetShare(), row.Tokens, row.FirstP95)
+	}
+	return t.Flush()
+}
