--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,6 @@
 package settings
 
 import (
-	"encoding/json"
 	"net"
 	"net/url"
 	"os"
@@ -79,9 +78,10 @@
 	return s, faults.Err()
 }
 
-// Effective returns the settings with all defaults as indented JSON.
+// Effective returns the settings with all defaults as indented JSON that Parse
+// reads back.
 func (s *Settings) Effective() ([]byte, error) {
-	return json.MarshalIndent(s, "", "  ")
+	return jsonc.Encode(s)
 }
 
 func (s *Settings) check(doc *jsonc.Document) jsonc.Faults {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -56,3 +56,15 @@
 		must.StrContains(t, faults.Error(), want)
 	}
 }
+
+// Guards against an effective-settings printout that cannot be used as settings.
+func TestEffectiveSettingsReadBack(t *testing.T) {
+	s, faults := settings.Parse("s.json", []byte(sidecar))
+	must.NoError(t, faults.Err())
+	text, err := s.Effective()
+	must.NoError(t, err)
+	must.StrContains(t, string(text), `"grace": "30s"`)
+	back, faults := settings.Parse("effective.json", text)
+	must.NoError(t, faults.Err())
+	must.Eq(t, s, back)
+}
