--- /dev/null
+++ b/internal/record/encode.go
@@ -0,0 +1,55 @@
+package record
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+)
+
+// Encode writes a snapshot as a record of the given schema without a revision.
+// Snapshots that Parse accepts survive Encode and Parse unchanged.
+func Encode(schema int, s *Snapshot) ([]byte, error) {
+	switch schema {
+	case 1:
+		return json.MarshalIndent(encode1(s), "", "  ")
+	case 2:
+		return json.MarshalIndent(encode2(s), "", "  ")
+	default:
+		return nil, errors.Errorf(schemaFault, schema, NewestSchema)
+	}
+}
+
+// EncodeBundle writes a snapshot in every known schema, for readers of
+// different age. The bundle has no revision.
+func EncodeBundle(s *Snapshot) ([]byte, error) {
+	return json.MarshalIndent(struct {
+		Records []any `json:"records"`
+	}{[]any{encode1(s), encode2(s)}}, "", "  ")
+}
+
+// Stamp sets the revision of a record or bundle and keeps everything else,
+// comments included. The publisher calls it with a revision that is greater
+// than every earlier one.
+func Stamp(value []byte, revision ident.Revision) ([]byte, error) {
+	tree, err := hujson.Parse(value)
+	if err != nil {
+		return nil, errors.Wrap(err, "record")
+	}
+	object, ok := tree.Value.(*hujson.Object)
+	if !ok {
+		return nil, errors.New("record: the document is not an object")
+	}
+	stamped := hujson.Value{Value: hujson.Uint(uint64(revision))}
+	if m := member(&tree, "revision"); m != nil {
+		m.Value = stamped.Value
+		return tree.Pack(), nil
+	}
+	object.Members = append([]hujson.ObjectMember{{
+		Name:  hujson.Value{Value: hujson.String("revision")},
+		Value: stamped,
+	}}, object.Members...)
+	return tree.Pack(), nil
+}
--- /dev/null
+++ b/internal/record/parse.go
@@ -0,0 +1,230 @@
+package record
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"reflect"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/jsonc"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+)
+
+// NewestSchema is the highest schema version that this program reads.
+const NewestSchema = 2
+
+// schemaFault is the message for a record of a schema that the reader does not
+// know. Another reader may accept the same value only as part of a bundle.
+const schemaFault = "schema %d is not known; this program reads schemas 1 to %d"
+
+// Parse reads a record or a bundle of records. The result depends on the value
+// alone, so every process that knows the same schemas decides alike. A value
+// without a revision gives a snapshot with revision 0, which is valid for
+// checks but is never put in force.
+func Parse(file string, value []byte) (*Snapshot, jsonc.Faults) {
+	return ParseUpTo(NewestSchema, file, value)
+}
+
+// ParseUpTo reads like a program whose newest schema is the given one. Records
+// of a bundle with a newer schema are skipped.
+func ParseUpTo(newest int, file string, value []byte) (*Snapshot, jsonc.Faults) {
+	tree, err := hujson.Parse(value)
+	if err != nil {
+		// Decode reports the place of the syntax error.
+		_, faults := jsonc.Decode(file, value, &struct{}{})
+		return nil, faults
+	}
+	var snapshot *Snapshot
+	var faults jsonc.Faults
+	var revision ident.Revision
+	if member(&tree, "records") != nil {
+		snapshot, revision, faults = parseBundle(newest, file, value, &tree)
+	} else {
+		snapshot, revision, faults = parseOne(newest, file, value, "", &tree)
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	snapshot.Digest = DigestOf(revision, value)
+	return snapshot, nil
+}
+
+// DigestOf names a value: its revision and the first 8 bytes of its SHA-256.
+func DigestOf(revision ident.Revision, value []byte) message.Digest {
+	sum := sha256.Sum256(value)
+	return message.Digest{Revision: revision, Hash: binary.BigEndian.Uint64(sum[:8])}
+}
+
+// bundle is the envelope of several records that say the same. A revision is
+// at most 2^43-1, since a fencing token adds 20 bits below it.
+type bundle struct {
+	Revision ident.Revision `json:"revision" max:"8796093022207"`
+	Records  []skipped      `json:"records" required:"true"`
+}
+
+// skipped takes any object; its records are decoded one by one.
+type skipped = map[string]anything
+
+// anything accepts every JSON value without decoding it.
+type anything struct{}
+
+func parseBundle(newest int, file string, value []byte, tree *hujson.Value) (*Snapshot, ident.Revision, jsonc.Faults) {
+	envelope := new(bundle)
+	document, faults := jsonc.Decode(file, blankRecords(value, tree), envelope)
+	if len(faults) > 0 {
+		return nil, 0, faults
+	}
+	records, ok := member(tree, "records").Value.(*hujson.Array)
+	if !ok {
+		return nil, 0, jsonc.Faults{document.At("records", "expected an array")}
+	}
+	var first *Snapshot
+	var firstIndex int
+	for i := range records.Elements {
+		element := &records.Elements[i]
+		prefix := fmt.Sprintf("records[%d].", i)
+		if schemaOf(element) > newest {
+			continue
+		}
+		if member(element, "revision") != nil {
+			faults = append(faults, document.At("records", "%srevision: a record in a bundle has no revision of its own", prefix))
+		}
+		snapshot, _, found := parseOne(newest, file, value, prefix, element)
+		faults = append(faults, found...)
+		if snapshot == nil {
+			continue
+		}
+		if first == nil {
+			first, firstIndex = snapshot, i
+			continue
+		}
+		for _, change := range Changes(first, snapshot) {
+			faults = append(faults, document.At("records", "records[%d] differs from records[%d]: %s", i, firstIndex, change))
+		}
+	}
+	if first == nil && len(faults) == 0 {
+		faults = append(faults, document.At("records", "the bundle has no record of a known schema; this program reads schemas 1 to %d", newest))
+	}
+	return first, envelope.Revision, faults
+}
+
+// parseOne reads one record. The element's bytes keep their place in the file,
+// so that faults have the right line and column.
+func parseOne(newest int, file string, value []byte, prefix string, element *hujson.Value) (*Snapshot, ident.Revision, jsonc.Faults) {
+	data := onlyRange(value, element.StartOffset, element.EndOffset)
+	var faults jsonc.Faults
+	var document *jsonc.Document
+	var revision ident.Revision
+	var form interface{ build(*builder) }
+	switch schema := schemaOf(element); {
+	case schema == 1 && newest >= 1:
+		f := new(schema1)
+		document, faults = jsonc.Decode(file, data, f)
+		revision, form = f.Revision, f
+	case schema == 2 && newest >= 2:
+		f := new(schema2)
+		document, faults = jsonc.Decode(file, data, f)
+		revision, form = f.Revision, f
+	default:
+		return nil, 0, jsonc.Faults{unknownSchema(newest, file, data, prefix, schema)}
+	}
+	for i := range faults {
+		faults[i].Path = prefix + faults[i].Path
+	}
+	if document == nil {
+		return nil, 0, faults
+	}
+	b := newBuilder(document, prefix)
+	form.build(b)
+	if len(faults) == 0 {
+		b.check()
+	}
+	faults = append(faults, b.faults...)
+	if len(faults) > 0 {
+		return nil, 0, faults
+	}
+	return b.snapshot, revision, nil
+}
+
+func unknownSchema(newest int, file string, data []byte, prefix string, schema int) jsonc.Fault {
+	var none struct{}
+	document, _ := jsonc.Decode(file, data, &none)
+	if schema == 0 {
+		f := document.At("schema", "the field is required and is a whole number from 1 to %d", newest)
+		f.Path = prefix + f.Path
+		return f
+	}
+	f := document.At("schema", schemaFault, schema, newest)
+	f.Path = prefix + f.Path
+	return f
+}
+
+// schemaOf returns 0 if there is no usable schema field.
+func schemaOf(v *hujson.Value) int {
+	m := member(v, "schema")
+	if m == nil {
+		return 0
+	}
+	literal, ok := m.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		return 0
+	}
+	return int(literal.Int())
+}
+
+func member(v *hujson.Value, name string) *hujson.Value {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		return nil
+	}
+	for i := range object.Members {
+		if object.Members[i].Name.Value.(hujson.Literal).String() == name {
+			return &object.Members[i].Value
+		}
+	}
+	return nil
+}
+
+// onlyRange replaces everything outside the range by spaces and keeps line ends.
+func onlyRange(value []byte, from, to int) []byte {
+	out := bytes.Repeat([]byte{' '}, len(value))
+	for i, c := range value {
+		if c == '\n' || (i >= from && i < to) {
+			out[i] = c
+		}
+	}
+	return out
+}
+
+// blankRecords empties the records of a bundle, so that the envelope can be
+// decoded without them.
+func blankRecords(value []byte, tree *hujson.Value) []byte {
+	records, ok := member(tree, "records").Value.(*hujson.Array)
+	out := bytes.Clone(value)
+	if !ok {
+		return out
+	}
+	for i := range records.Elements {
+		e := &records.Elements[i]
+		if _, isObject := e.Value.(*hujson.Object); !isObject {
+			continue
+		}
+		for j := e.StartOffset + 1; j < e.EndOffset-1; j++ {
+			if out[j] != '\n' {
+				out[j] = ' '
+			}
+		}
+	}
+	return out
+}
+
+// Equal reports whether two snapshots say the same. It ignores the digests.
+func Equal(a, b *Snapshot) bool {
+	x, y := *a, *b
+	x.Digest, y.Digest = message.Digest{}, message.Digest{}
+	return reflect.DeepEqual(x, y)
+}
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -24,6 +24,18 @@
 	Replicas map[ident.ServerID]Replica
 	Services map[ident.ServiceName]Service
 	Groups   map[ident.GroupID]Group
+	// WeightStoreRate is the rate at which the weight store serves all loads
+	// together, in bytes per second. Zero means that it is not known.
+	WeightStoreRate int64
+
+	accountByKey map[string]ident.ClientAccount
+}
+
+// AccountForKey returns the account that owns the API key with the given
+// SHA-256 hash in lower-case hexadecimal.
+func (s *Snapshot) AccountForKey(hash string) (Account, bool) {
+	id, ok := s.accountByKey[hash]
+	return s.Accounts[id], ok
 }
 
 // Account is a client account.
