--- /dev/null
+++ b/internal/command/check.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/anvilpoint/anvilpoint/internal/jsonc"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/settings"
+)
+
+func init() {
+	register(spec{
+		name:  "check",
+		short: "Check settings and configuration records",
+		long:  "Reports every fault of the files with its place. Settings and records are told apart by their fields. With two records it also prints what changes from the first to the second.",
+		make:  func(env *environment) flags.Commander { return &checkCommand{env: env} },
+	})
+}
+
+type checkCommand struct{ env *environment }
+
+// Usage implements flags.Usage.
+func (c *checkCommand) Usage() string { return "FILE..." }
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute(files []string) error {
+	if len(files) == 0 {
+		return badInputf("usage: anvilpoint check FILE...")
+	}
+	var records []*record.Snapshot
+	bad := 0
+	for _, file := range files {
+		snapshot, err := c.checkFile(file)
+		if err != nil {
+			bad++
+			fmt.Fprintln(c.env.err, err)
+			continue
+		}
+		if snapshot != nil {
+			records = append(records, snapshot)
+		}
+	}
+	if bad > 0 {
+		return badInputf("%d of %d files have faults", bad, len(files))
+	}
+	if len(files) == 2 && len(records) == 2 {
+		return c.printChanges(records[0], records[1])
+	}
+	return nil
+}
+
+// checkFile returns the snapshot of a record, or nil for settings.
+func (c *checkCommand) checkFile(file string) (*record.Snapshot, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.WithMessage(err, "check")
+	}
+	if !isRecord(data) {
+		_, faults := settings.Parse(file, data)
+		return nil, c.report(file, "settings", faults)
+	}
+	snapshot, faults := record.Parse(file, data)
+	return snapshot, c.report(file, "record", faults)
+}
+
+func (c *checkCommand) report(file, kind string, faults jsonc.Faults) error {
+	if len(faults) > 0 {
+		return faults
+	}
+	_, err := fmt.Fprintf(c.env.out, "%s: valid %s\n", file, kind)
+	return err
+}
+
+// isRecord tells a record or a bundle by fields that settings do not have. One
+// is enough, so that a record without its schema field is reported as a record.
+func isRecord(data []byte) bool {
+	tree, err := hujson.Parse(data)
+	if err != nil {
+		return false
+	}
+	for _, field := range []string{"/schema", "/records", "/revision", "/accounts", "/classes", "/replicas"} {
+		if tree.Find(field) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checkCommand) printChanges(before, after *record.Snapshot) error {
+	changes := record.Changes(before, after)
+	if len(changes) == 0 {
+		_, err := fmt.Fprintln(c.env.out, "nothing changes")
+		return err
+	}
+	for _, change := range changes {
+		if _, err := fmt.Fprintln(c.env.out, change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
