admission: add the sidecar's queue

Requests need a queue that serves urgent work first, keeps a guaranteed share for each class and the bookings, and divides each class between accounts by weight. Offers whose deadline cannot be met are refused early.

--- /dev/null
+++ b/internal/decide/admission/estimate.go
@@ -0,0 +1,149 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+)
+
+// capacity estimates the cost per second that the backend server gets done
+// when it has enough work. Rates measured without a backlog say nothing about
+// capacity, so they only ever raise the estimate.
+type capacity struct {
+	finished meter
+	measured float64
+}
+
+// capacityGain is the weight of one measurement taken under backlog.
+const capacityGain = 0.05
+
+func (c *capacity) begin(now time.Time, running int) {
+	if running == 0 && c.finished.last.IsZero() {
+		c.finished.last = now
+	}
+}
+
+func (c *capacity) end(now time.Time, _ int, cost float64, backlogged bool) {
+	c.finished.add(now, cost)
+	rate := c.finished.rate(now)
+	switch {
+	case rate > c.measured:
+		c.measured = rate
+	case backlogged:
+		c.measured += capacityGain * (rate - c.measured)
+	}
+}
+
+// estimate returns cost per second, at least a tenth of the configured rate so
+// that a stall does not refuse everything for ever.
+func (c *capacity) estimate(config Config) float64 {
+	if c.measured == 0 {
+		return config.Rate
+	}
+	return max(c.measured, config.Rate/10)
+}
+
+// laneRate estimates the cost per second that the lane gets while it has work:
+// its guarantee, or what the more urgent lanes leave if that is more.
+func (s *Scheduler) laneRate(now time.Time, n laneIndex) float64 {
+	total := s.rate.estimate(s.config)
+	taken := 0.0
+	for k, l := range s.lanes {
+		if k := laneIndex(k); k == n || (l.items == 0 && k > n) {
+			continue
+		} else if k < n {
+			taken += l.served.rate(now)
+		} else {
+			// A less urgent lane with work takes its guarantee at most.
+			taken += min(l.share*total, max(l.served.rate(now), l.share*total))
+		}
+	}
+	return max(total-taken, s.lanes[n].share*total, total/100)
+}
+
+// wait estimates how long the item would queue: its account's own backlog at
+// the account's fair rate, or the whole lane's backlog if that is less.
+func (s *Scheduler) wait(now time.Time, w *work) time.Duration {
+	l := s.lanes[w.lane]
+	rate := s.laneRate(now, w.lane)
+	whole := float64(l.cost) / rate
+	var own float64
+	if a := l.accounts[w.item.Account]; a != nil {
+		own = float64(a.cost) * l.weights(w.item) / (w.item.Weight * rate)
+	}
+	return time.Duration(min(whole, own) * float64(time.Second))
+}
+
+// refuse applies the early refusals: a deadline that cannot be met, and a queue
+// that is longer than its class allows.
+func (s *Scheduler) refuse(now time.Time, w *work) (outcome.Reason, time.Duration) {
+	wait := s.wait(now, w)
+	l := s.lanes[w.lane]
+	switch {
+	case now.Add(wait).After(w.item.Deadline):
+		return s.overReason(w, outcome.ReasonDeadline), clampRetry(now.Add(wait).Sub(w.item.Deadline))
+	case l.maxWait > 0 && wait > l.maxWait:
+		return s.overReason(w, outcome.ReasonQueueFull), clampRetry(wait - l.maxWait)
+	}
+	return outcome.ReasonNone, 0
+}
+
+// overReason blames the account if it waits with more than its part of the lane.
+func (s *Scheduler) overReason(w *work, other outcome.Reason) outcome.Reason {
+	l := s.lanes[w.lane]
+	a := l.accounts[w.item.Account]
+	if a == nil || len(l.active) < 2 {
+		return other
+	}
+	if float64(a.cost)*l.weights(w.item) > 1.5*float64(l.cost)*w.item.Weight {
+		return outcome.ReasonAccountShare
+	}
+	return other
+}
+
+func (s *Scheduler) retryAfter(now time.Time, w *work) time.Duration {
+	return clampRetry(s.wait(now, w) / 2)
+}
+
+func clampRetry(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// defaultWindow is the wait in each class's queue up to which entries get
+// credit when the configuration gives no bound.
+const defaultWindow = 2 * time.Second
+
+// Window returns the credit for each of the given number of entries, by class
+// in cost units, most urgent first. An entry may send this much on top of what
+// it has waiting.
+func (s *Scheduler) Window(now time.Time, entries int) [3]int64 {
+	var window [3]int64
+	for n, class := range ident.PriorityClasses() {
+		lane := laneOf(Item{Class: class})
+		wait := s.lanes[lane].maxWait
+		if wait == 0 {
+			wait = defaultWindow
+		}
+		room := s.laneRate(now, lane)*wait.Seconds() - float64(s.lanes[lane].cost)
+		window[n] = int64(max(0, room)) / int64(max(1, entries))
+	}
+	return window
+}
+
+// QueuedCost returns the waiting cost by class, most urgent first.
+func (s *Scheduler) QueuedCost() [3]int64 {
+	return [3]int64{s.lanes[interactiveLane].cost, s.lanes[analyticalLane].cost, s.lanes[batchLane].cost}
+}
+
+// Queued returns the number of waiting items, bookings included.
+func (s *Scheduler) Queued() int {
+	n := 0
+	for _, l := range s.lanes {
+		n += l.items
+	}
+	return n
+}
+
+// Running returns the number of dispatched items that have not been charged.
+func (s *Scheduler) Running() int { return s.running }
