standin: add the installation of the dev command

The admin listener publishes records, injects faults and shows the ground truth. A published record gets the addresses at which this installation runs its backend servers.

--- /dev/null
+++ b/internal/standin/dev/options.go
@@ -0,0 +1,134 @@
+// Package dev runs a whole installation in one operating-system process over
+// loopback TCP: entries, sidecars, backend servers and the platform's services.
+// An admin listener publishes records, injects faults and shows the ground truth
+// that the stand-ins keep.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/network"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/settings"
+	"github.com/anvilpoint/anvilpoint/internal/standin/engine"
+	"github.com/anvilpoint/anvilpoint/internal/standin/instances"
+	"github.com/anvilpoint/anvilpoint/internal/standin/service"
+)
+
+// Limits of an installation on one machine.
+const (
+	MaxEntries  = 16
+	MaxReplicas = 128
+	MaxServices = 32
+	MaxDomains  = 16
+)
+
+// ProcessOptions are what an entry or a sidecar is started with. The fields are
+// those of entry.Options and sidecar.Options.
+type ProcessOptions struct {
+	Settings *settings.Settings
+	Logger   zerolog.Logger
+	Events   *eventlog.Log
+	Network  network.Network
+	Ready    func()
+	Kill     <-chan struct{}
+}
+
+// Programs run the product's processes.
+type Programs struct {
+	Entry   func(ctx context.Context, o ProcessOptions) error
+	Sidecar func(ctx context.Context, o ProcessOptions) error
+}
+
+// Options describe an installation.
+type Options struct {
+	// Listen is the callers' address of the first entry; entry k listens on the
+	// port plus k. With port 0 all ports are chosen.
+	Listen string
+	// Admin is the address of the admin listener; port 0 is allowed.
+	Admin    string
+	Entries  int
+	Replicas int
+	// Services is the number of replicas of the plain service.
+	Services int
+	Domains  []ident.FailureDomain
+	// Delay is the one-way delay between failure domains.
+	Delay time.Duration
+	// Record is published at the start. Nil stands for a record that fits the
+	// other options and has the Accounts.
+	Record   []byte
+	Accounts []record.Account
+	// Events receives the events of all processes as JSON lines; nil is none.
+	Events   io.Writer
+	Logger   zerolog.Logger
+	Programs Programs
+	// Engine is the template for the engines.
+	Engine      engine.Config
+	ServiceTime time.Duration
+	// InstanceLag is how late the instance list shows changes.
+	InstanceLag time.Duration
+	// Grace is how long a stop waits for work in flight.
+	Grace time.Duration
+}
+
+// Defaults returns the options of the dev command.
+func Defaults() Options {
+	return Options{
+		Listen: "127.0.0.1:8080", Admin: "127.0.0.1:8090",
+		Entries: 3, Replicas: 16, Services: 3, Domains: DomainNames(3),
+		Accounts: DemoAccounts(), Logger: zerolog.Nop(), Engine: engine.Defaults(),
+		ServiceTime: service.DefaultTime, InstanceLag: instances.DefaultLag, Grace: 30 * time.Second,
+	}
+}
+
+// DomainNames returns the default names of n failure domains.
+func DomainNames(n int) []ident.FailureDomain {
+	names := make([]ident.FailureDomain, n)
+	for i := range names {
+		names[i] = ident.FailureDomain(fmt.Sprintf("domain-%d", i))
+	}
+	return names
+}
+
+// Check returns what is wrong with the options.
+func (o Options) Check() error {
+	for _, c := range []struct {
+		name       string
+		value, max int
+	}{
+		{"entries", o.Entries, MaxEntries}, {"replicas", o.Replicas, MaxReplicas},
+		{"services", o.Services, MaxServices}, {"domains", len(o.Domains), MaxDomains},
+	} {
+		if c.value < 1 || c.value > c.max {
+			return errors.Errorf("%s must be from 1 to %d, not %d", c.name, c.max, c.value)
+		}
+	}
+	for _, a := range []struct{ name, address string }{{"listen", o.Listen}, {"admin", o.Admin}} {
+		if _, _, err := splitAddress(a.address); err != nil {
+			return errors.Errorf("%s: %q is not an IP address and port", a.name, a.address)
+		}
+	}
+	return nil
+}
+
+func splitAddress(address string) (host string, port int, err error) {
+	host, text, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", 0, errors.Wrap(err, "address")
+	}
+	number, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || net.ParseIP(host) == nil {
+		return "", 0, errors.Errorf("%q is not an IP address and port", address)
+	}
+	return host, int(number), nil
+}
--- /dev/null
+++ b/internal/standin/dev/record.go
@@ -0,0 +1,195 @@
+package dev
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+)
+
+// Names in the demo record.
+const (
+	DemoKey     = "demo-key"
+	DemoModel   = ident.ModelName("assistant")
+	DemoService = ident.ServiceName("ledger")
+	DemoGroup   = ident.GroupID("group-0")
+)
+
+// Size of the demo record's group of ranks.
+const (
+	groupRanks      = 4
+	groupLayers     = 2
+	expertsPerRank  = 4
+	demoWeightBytes = 64 << 20
+)
+
+// demoWeightRate is the rate of the weight store in bytes per second.
+const demoWeightRate = 256 << 20
+
+// DemoAccounts returns ten accounts, three of them large. The account demo has
+// the key demo-key, the others have key-NAME.
+func DemoAccounts() []record.Account {
+	accounts := []record.Account{Account("demo", DemoKey, 1)}
+	for _, name := range []string{"large-0", "large-1", "large-2"} {
+		accounts = append(accounts, Account(ident.ClientAccount(name), "key-"+name, 3))
+	}
+	for n := range 6 {
+		name := fmt.Sprintf("small-%d", n)
+		accounts = append(accounts, Account(ident.ClientAccount(name), "key-"+name, 1))
+	}
+	return accounts
+}
+
+// Account returns an account that may use everything in the demo record.
+func Account(id ident.ClientAccount, key string, weight float64) record.Account {
+	hash := sha256.Sum256([]byte(key))
+	return record.Account{
+		ID: id, KeyHashes: []string{hex.EncodeToString(hash[:])}, Weight: weight,
+		Classes: ident.PriorityClasses(), Models: []ident.ModelName{DemoModel}, Services: []ident.ServiceName{DemoService},
+	}
+}
+
+// demoSnapshot describes the installation.
+func demoSnapshot(o Options, l layout, keysValidFrom time.Time) *record.Snapshot {
+	s := &record.Snapshot{
+		Accounts:     make(map[ident.ClientAccount]record.Account),
+		Classes:      demoClasses(),
+		BookingShare: 0.1,
+		Models: map[ident.ModelName]record.Model{
+			DemoModel: {Name: DemoModel, Version: "v1", Adapters: []string{"summaries"}, Bytes: demoWeightBytes},
+		},
+		Replicas:        make(map[ident.ServerID]record.Replica),
+		Services:        make(map[ident.ServiceName]record.Service),
+		Groups:          make(map[ident.GroupID]record.Group),
+		WeightStoreRate: demoWeightRate,
+	}
+	for _, a := range o.Accounts {
+		s.Accounts[a.ID] = a
+	}
+	group := record.Group{ID: DemoGroup, Layers: groupLayers}
+	ledger := record.Service{
+		Name: DemoService, Repeatable: []record.CallPattern{{Method: "GET", Prefix: "/"}},
+		KeysValidFrom: keysValidFrom, OpaqueKeyWindow: 24 * time.Hour,
+	}
+	for n, server := range servers(o) {
+		if server.kind == kindService {
+			ledger.Replicas = append(ledger.Replicas, record.ServiceReplica{ID: server.id, Address: l.servers[n].link, Domain: server.domain})
+			continue
+		}
+		s.Replicas[server.id] = record.Replica{
+			ID: server.id, Address: l.servers[n].link, Domain: server.domain, Role: record.RoleServe,
+			Model: DemoModel, ChecksFencing: checksFencing(n),
+		}
+		if len(group.Ranks) < groupRanks {
+			group.Ranks = append(group.Ranks, server.id)
+		}
+	}
+	group.Experts = expertsPerRank * len(group.Ranks)
+	group.SpareSlots = len(group.Ranks)
+	s.Services[DemoService] = ledger
+	s.Groups[DemoGroup] = group
+	return s
+}
+
+// checksFencing makes every second engine ignore fencing tokens.
+func checksFencing(replica int) bool { return replica%2 == 0 }
+
+func demoClasses() map[ident.PriorityClass]record.Class {
+	return map[ident.PriorityClass]record.Class{
+		ident.Interactive: {Name: ident.Interactive, FirstTokenTarget: 600 * time.Millisecond, TokenTarget: 44 * time.Millisecond, Deadline: 20 * time.Second, Worth: 10, Share: 0.4},
+		ident.Analytical:  {Name: ident.Analytical, FirstTokenTarget: 3 * time.Second, TokenTarget: 100 * time.Millisecond, Deadline: 60 * time.Second, Worth: 3, Share: 0.2},
+		ident.Batch:       {Name: ident.Batch, FirstTokenTarget: 15 * time.Second, TokenTarget: 500 * time.Millisecond, Deadline: 10 * time.Minute, Worth: 1, Share: 0.1},
+	}
+}
+
+// DemoRecord returns a bundle of both schema versions that fits the options. A
+// zero time leaves the statement about unused keys out.
+func DemoRecord(o Options, keysValidFrom time.Time) ([]byte, error) {
+	l, err := newLayout(o)
+	if err != nil {
+		return nil, err
+	}
+	return record.EncodeBundle(demoSnapshot(o, l, keysValidFrom))
+}
+
+// revisionOf returns the revision that a document states, if it is JSON at all.
+func revisionOf(value []byte) (revision ident.Revision, stated, isJSON bool) {
+	tree, err := hujson.Parse(value)
+	if err != nil {
+		return 0, false, false
+	}
+	found := tree.Find("/revision")
+	if found == nil {
+		return 0, false, true
+	}
+	literal, ok := found.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '0' {
+		return 0, true, true
+	}
+	return ident.Revision(literal.Uint()), true, true
+}
+
+// readdress replaces the addresses of backend servers that the installation
+// runs, so that a record written for other ports can be published. It returns
+// the servers whose address it changed.
+func readdress(value []byte, addresses map[string]string) ([]byte, []string) {
+	tree, err := hujson.Parse(value)
+	if err != nil {
+		return value, nil
+	}
+	r := &readdresser{addresses: addresses}
+	r.visit("", &tree)
+	if len(r.changed) == 0 {
+		return value, nil
+	}
+	slices.Sort(r.changed)
+	return tree.Pack(), slices.Compact(r.changed)
+}
+
+// readdresser walks a record. Schema 1 names a server in its field id, schema 2
+// by the key under which it stands.
+type readdresser struct {
+	addresses map[string]string
+	changed   []string
+}
+
+func (r *readdresser) visit(key string, v *hujson.Value) {
+	switch inner := v.Value.(type) {
+	case *hujson.Array:
+		for n := range inner.Elements {
+			r.visit("", &inner.Elements[n])
+		}
+	case *hujson.Object:
+		r.object(key, inner)
+	}
+}
+
+func (r *readdresser) object(key string, o *hujson.Object) {
+	id := key
+	var address *hujson.Value
+	for n := range o.Members {
+		name := o.Members[n].Name.Value.(hujson.Literal).String()
+		value := &o.Members[n].Value
+		literal, isLiteral := value.Value.(hujson.Literal)
+		switch {
+		case name == "id" && isLiteral:
+			id = literal.String()
+		case name == "address" && isLiteral:
+			address = value
+		default:
+			r.visit(name, value)
+		}
+	}
+	want, known := r.addresses[id]
+	if address == nil || !known || address.Value.(hujson.Literal).String() == want {
+		return
+	}
+	address.Value = hujson.String(want)
+	r.changed = append(r.changed, id)
+}
