--- /dev/null
+++ b/internal/decide/routing/rendezvous.go
@@ -0,0 +1,61 @@
+package routing
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+)
+
+// Weight is the rendezvous score (highest random weight) of a name for a key.
+// Every process computes the same value.
+func Weight(key uint64, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var head [8]byte
+	binary.BigEndian.PutUint64(head[:], key)
+	// Writing to a digest never fails.
+	_, _ = d.Write(head[:])
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// topReplicas returns the n replicas with the highest weights for a key.
+func topReplicas(key uint64, list []*replica, n int) []*replica {
+	return top(list, n, func(p *replica) uint64 { return Weight(key, p.name) })
+}
+
+func top[T any](list []T, n int, weight func(T) uint64) []T {
+	type scored struct {
+		item   T
+		weight uint64
+	}
+	all := make([]scored, len(list))
+	for i, item := range list {
+		all[i] = scored{item, weight(item)}
+	}
+	slices.SortStableFunc(all, func(a, b scored) int { return cmp.Compare(b.weight, a.weight) })
+	best := make([]T, 0, n)
+	for _, s := range all[:min(n, len(all))] {
+		best = append(best, s.item)
+	}
+	return best
+}
+
+// DefaultSubset is how many replicas an entry links to at the target size. With
+// 370 entries and 2,700 replicas each replica then has 6 or 7 entries.
+const DefaultSubset = 48
+
+// Subset returns the servers that an entry holds links to: all of them if they
+// are few, else the given number with the highest rendezvous scores for this
+// entry. A change of one server or entry changes one link of the others at most.
+func Subset(entry ident.InstanceID, servers []Server, size int) []Server {
+	if len(servers) <= size {
+		return servers
+	}
+	key := xxhash.Sum64String(string(entry))
+	return top(servers, size, func(s Server) uint64 { return Weight(key, replicaName(s)) })
+}
