--- a/internal/record/encode.go
+++ b/internal/record/encode.go
@@ -23,11 +23,12 @@
 }
 
 // EncodeBundle writes a snapshot in every known schema, for readers of
-// different age. The bundle has no revision.
+// different age. The bundle has no revision and no indentation, since two
+// records of target size with indentation exceed MaxValueBytes.
 func EncodeBundle(s *Snapshot) ([]byte, error) {
-	return json.MarshalIndent(struct {
+	return json.Marshal(struct {
 		Records []any `json:"records"`
-	}{[]any{encode1(s), encode2(s)}}, "", "  ")
+	}{[]any{encode1(s), encode2(s)}})
 }
 
 // Stamp sets the revision of a record or bundle and keeps everything else,
--- a/internal/record/parse.go
+++ b/internal/record/parse.go
@@ -32,6 +32,9 @@
 // ParseUpTo reads like a program whose newest schema is the given one. Records
 // of a bundle with a newer schema are skipped.
 func ParseUpTo(newest int, file string, value []byte) (*Snapshot, jsonc.Faults) {
+	if len(value) > MaxValueBytes {
+		return nil, jsonc.Faults{{File: file, Line: 1, Column: 1, Message: fmt.Sprintf("%d bytes are more than the %d that the configuration service holds", len(value), MaxValueBytes)}}
+	}
 	tree, err := hujson.Parse(value)
 	if err != nil {
 		// Decode reports the place of the syntax error.
