--- a/internal/standin/dev/record.go
+++ b/internal/standin/dev/record.go
@@ -108,13 +108,15 @@
 	}
 }
 
-// DemoRecord returns a bundle of both schema versions that fits the options. A
-// zero time leaves the statement about unused keys out.
+// DemoRecord returns the record that the dev command publishes with these
+// options, as a bundle of both schema versions, if its preferred ports are free.
+// A zero time leaves out the statement about unused idempotency keys.
 func DemoRecord(o Options, keysValidFrom time.Time) ([]byte, error) {
-	l, err := newLayout(o)
+	host, port, err := splitAddress(o.Listen)
 	if err != nil {
 		return nil, err
 	}
+	l := place(o, host, port, port+blockOffset, o.Replicas+o.Services)
 	return record.EncodeBundle(demoSnapshot(o, l, keysValidFrom))
 }
 
