--- a/internal/standin/dev/cluster.go
+++ b/internal/standin/dev/cluster.go
@@ -154,7 +154,7 @@
 		p.life = machine.New(time.Now(), p)
 	}
 	c.keysValid = time.Now().Add(keysMargin)
-	err := c.publishFirst(lifetime)
+	err := c.publishFirst()
 	if err == nil {
 		err = c.serve(ctx)
 	}
--- a/internal/standin/dev/options.go
+++ b/internal/standin/dev/options.go
@@ -66,8 +66,10 @@
 	Delay time.Duration
 	// Record is published at the start. Nil stands for a record that fits the
 	// other options and has the Accounts.
-	Record   []byte
-	Accounts []record.Account
+	Record []byte
+	// RecordName names the record in its faults.
+	RecordName string
+	Accounts   []record.Account
 	// Events receives the events of all processes as JSON lines; nil is none.
 	Events   io.Writer
 	Logger   zerolog.Logger
@@ -86,7 +88,7 @@
 	return Options{
 		Listen: "127.0.0.1:8080", Admin: "127.0.0.1:8090",
 		Entries: 3, Replicas: 16, Services: 3, Domains: DomainNames(3),
-		Accounts: DemoAccounts(), Logger: zerolog.Nop(), Engine: engine.Defaults(),
+		RecordName: "record", Accounts: DemoAccounts(), Logger: zerolog.Nop(), Engine: engine.Defaults(),
 		ServiceTime: service.DefaultTime, InstanceLag: instances.DefaultLag, Grace: 30 * time.Second,
 	}
 }
--- a/internal/standin/dev/publish.go
+++ b/internal/standin/dev/publish.go
@@ -1,7 +1,6 @@
 package dev
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -27,12 +26,12 @@
 }
 
 func (p *publish) serve(c *Cluster, _ time.Time) error {
-	p.reply <- c.publish(p.value, p.force)
+	p.reply <- c.publish("record", p.value, p.force)
 	return nil
 }
 
 // publish checks a record, gives it a revision if it has none, and stores it.
-func (c *Cluster) publish(value []byte, force bool) published {
+func (c *Cluster) publish(name string, value []byte, force bool) published {
 	revision, stated, isJSON := revisionOf(value)
 	next := c.revision + 1
 	if stated {
@@ -51,7 +50,7 @@
 			value = stamped
 		}
 	}
-	_, faults := record.Parse("record", value)
+	_, faults := record.Parse(name, value)
 	p := published{Revision: next, Readdressed: readdressed, Forced: len(faults) > 0}
 	for _, f := range faults {
 		p.faults = append(p.faults, f.String())
@@ -79,7 +78,7 @@
 }
 
 // publishFirst publishes the record of the options, or one that fits them.
-func (c *Cluster) publishFirst(context.Context) error {
+func (c *Cluster) publishFirst() error {
 	value := c.options.Record
 	if value == nil {
 		var err error
@@ -87,7 +86,7 @@
 			return errors.Wrap(err, "demo record")
 		}
 	}
-	p := c.publish(value, false)
+	p := c.publish(c.options.RecordName, value, false)
 	switch {
 	case p.err != nil:
 		return p.err
