--- /dev/null
+++ b/internal/engine/events.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// readerBytes is the read buffer of one stream and bounds the length of a line.
+const readerBytes = 64 << 10
+
+var (
+	dataField = []byte("data:")
+	doneData  = []byte("[DONE]")
+)
+
+// readEvents reads server-sent events until [DONE]. Events whose bytes are
+// already in the buffer are emitted together.
+func readEvents(body io.Reader, emit func(batch [][]byte) bool) error {
+	reader := bufio.NewReaderSize(body, readerBytes)
+	var batch [][]byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			// Events that arrived whole are passed on even if the stream breaks.
+			if len(batch) > 0 {
+				emit(batch)
+			}
+			return errors.Wrapf(ErrCutOff, "%v", err)
+		}
+		data, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataField)
+		if !found {
+			continue
+		}
+		data = bytes.TrimPrefix(data, []byte(" "))
+		done := bytes.Equal(data, doneData)
+		if !done {
+			batch = append(batch, bytes.Clone(data))
+		}
+		if len(batch) > 0 && (done || !lineBuffered(reader)) {
+			if !emit(batch) {
+				return ErrCutOff
+			}
+			batch = nil
+		}
+		if done {
+			return nil
+		}
+	}
+}
+
+// lineBuffered reports whether another event line can be read without waiting.
+func lineBuffered(reader *bufio.Reader) bool {
+	ahead, err := reader.Peek(reader.Buffered())
+	if err != nil {
+		return false
+	}
+	at := bytes.Index(ahead, dataField)
+	return at >= 0 && bytes.IndexByte(ahead[at:], '\n') >= 0
+}
