sidecar: run offers against the backend server

The run-queue task owns the waiting work and the refusals, the streams task owns the answers, and the control task owns the record, the heartbeats and the life of the process.

--- /dev/null
+++ b/internal/sidecar/control.go
@@ -0,0 +1,293 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/anvilpoint/anvilpoint/chart"
+	"github.com/anvilpoint/anvilpoint/internal/charts"
+	"github.com/anvilpoint/anvilpoint/internal/engine"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/link"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/operations"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/platform"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+const (
+	controlCapacity = 256
+	controlTick     = 100 * time.Millisecond
+)
+
+// controlMessage is a message to the control task.
+type controlMessage interface{ isControlMessage() }
+
+type (
+	linkEvent   struct{ event link.Event }
+	configValue struct{ value platform.Value }
+	listValue   struct{ list platform.List }
+	engineLoad  struct {
+		load engine.Load
+		err  error
+	}
+	stopProcess  struct{}
+	askReadiness struct {
+		reply chan<- operations.Readiness
+	}
+	askDigest struct{ reply chan<- message.Digest }
+)
+
+func (linkEvent) isControlMessage()    {}
+func (configValue) isControlMessage()  {}
+func (listValue) isControlMessage()    {}
+func (engineLoad) isControlMessage()   {}
+func (stopProcess) isControlMessage()  {}
+func (askReadiness) isControlMessage() {}
+func (askDigest) isControlMessage()    {}
+
+// control is the task that owns the record in force, the links' heartbeats and
+// the life of the process.
+type control struct {
+	mailbox  *task.Mailbox[controlMessage]
+	life     *chart.Instance[*control]
+	grace    time.Duration
+	instance ident.InstanceID
+	snapshot *record.Snapshot
+	refused  string
+	links    map[*link.Link]struct{}
+	load     engine.Load
+	loadAt   time.Time
+	// leavingList and leavingServer are what the platform and the backend server
+	// say; the chart decides what follows.
+	leavingList   bool
+	leavingServer bool
+	hasEngine     bool
+
+	queue   *task.Mailbox[queueMessage]
+	streams *task.Mailbox[streamMessage]
+	logger  zerolog.Logger
+	events  *eventlog.Log
+	metrics *metrics
+	ready   func()
+}
+
+func newControl(now time.Time, grace time.Duration) (*control, error) {
+	c := &control{
+		mailbox: task.NewMailbox[controlMessage](controlCapacity, task.Block),
+		grace:   grace, links: make(map[*link.Link]struct{}),
+	}
+	machine, err := chart.Bind(charts.Must("process"), chart.Binding[*control]{
+		Delays:  map[string]func(*control) time.Duration{"grace": func(c *control) time.Duration { return c.grace }},
+		Observe: (*control).observe,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.life = machine.New(now, c)
+	return c, nil
+}
+
+// observe records transitions of the process and tells the queue what follows.
+func (c *control) observe(t chart.Transition) {
+	c.events.Emit(eventlog.Event{Name: "process.changed", Chart: t.Chart, From: t.From, To: t.To, Instance: c.instance})
+	switch t.To {
+	case "ready":
+		c.queue.Send(context.Background(), setRefusal{reason: outcome.ReasonNone})
+	case "leaving", "draining":
+		c.queue.Send(context.Background(), setRefusal{reason: outcome.ReasonDraining})
+	}
+}
+
+// run is the task. It returns once the process is stopped.
+func (c *control) run(ctx context.Context) error {
+	defer c.mailbox.Close()
+	tick := time.NewTicker(controlTick)
+	defer tick.Stop()
+	for !c.life.Done() {
+		select {
+		case m := <-c.mailbox.Receive():
+			c.step(ctx, time.Now(), m)
+		case now := <-tick.C:
+			c.tick(ctx, now)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+func (c *control) step(ctx context.Context, now time.Time, m controlMessage) {
+	switch m := m.(type) {
+	case linkEvent:
+		c.linkEvent(ctx, now, m.event)
+	case configValue:
+		c.value(ctx, now, m.value)
+	case listValue:
+		c.list(ctx, now, m.list)
+	case engineLoad:
+		c.engineLoad(ctx, now, m)
+	case stopProcess:
+		c.life.Fire(now, "stop")
+		c.beat(ctx, now)
+	case askReadiness:
+		m.reply <- c.readiness()
+	case askDigest:
+		m.reply <- c.digest()
+	}
+}
+
+func (c *control) linkEvent(ctx context.Context, now time.Time, e link.Event) {
+	switch e.Kind {
+	case link.Up:
+		c.links[e.Link] = struct{}{}
+		c.beat(ctx, now)
+	case link.Down:
+		delete(c.links, e.Link)
+	}
+}
+
+func (c *control) digest() message.Digest {
+	if c.snapshot == nil {
+		return message.Digest{}
+	}
+	return c.snapshot.Digest
+}
+
+// value takes a value of the configuration service. Only a newer record is put
+// in force; a refused one changes nothing.
+func (c *control) value(ctx context.Context, now time.Time, v platform.Value) {
+	if v.Err != nil {
+		c.logger.Warn().Err(v.Err).Msg("configuration service")
+		return
+	}
+	snapshot, faults := record.Parse("configuration service", v.Data)
+	if len(faults) > 0 {
+		c.refused = faults[0].String()
+		c.metrics.badValue.Inc()
+		c.logger.Error().Str("fault", c.refused).Msg("configuration record refused")
+		return
+	}
+	c.refused = ""
+	if c.snapshot != nil && !c.snapshot.Digest.Less(snapshot.Digest) {
+		return
+	}
+	c.snapshot = snapshot
+	c.metrics.record.Set(float64(snapshot.Digest.Revision))
+	c.events.Emit(eventlog.Event{Name: "record.adopted", Revision: snapshot.Digest.Revision})
+	c.becomeReady(now)
+	c.beat(ctx, now)
+}
+
+// becomeReady leaves the starting state once the record and, beside an engine,
+// its first load report are known.
+func (c *control) becomeReady(now time.Time) {
+	if c.snapshot == nil || (c.hasEngine && c.loadAt.IsZero()) {
+		return
+	}
+	if _, ok := c.life.Fire(now, "configured"); ok && c.ready != nil {
+		c.ready()
+	}
+}
+
+func (c *control) list(ctx context.Context, now time.Time, l platform.List) {
+	if l.Err != nil {
+		c.logger.Debug().Err(l.Err).Msg("instance list")
+		return
+	}
+	for _, i := range l.Instances {
+		if i.Name == c.instance {
+			c.leavingList = i.State == platform.Leaving
+		}
+	}
+	c.leave(ctx, now)
+}
+
+func (c *control) engineLoad(ctx context.Context, now time.Time, m engineLoad) {
+	if m.err != nil {
+		c.logger.Debug().Err(m.err).Msg("engine load")
+		return
+	}
+	c.load, c.loadAt = m.load, now
+	c.leavingServer = m.load.Leaving
+	if m.load.Slots > 0 {
+		c.queue.Send(ctx, setSlots{slots: m.load.Slots})
+	}
+	c.becomeReady(now)
+	c.leave(ctx, now)
+}
+
+// leave follows what the platform and the backend server say about leaving.
+func (c *control) leave(ctx context.Context, now time.Time) {
+	event := "return"
+	if c.leavingList || c.leavingServer {
+		event = "leave"
+	}
+	if _, changed := c.life.Fire(now, event); changed {
+		c.beat(ctx, now)
+	}
+}
+
+func (c *control) tick(ctx context.Context, now time.Time) {
+	c.beat(ctx, now)
+	if c.life.In("draining") && c.idle(ctx) {
+		c.life.Fire(now, "drained")
+	}
+	c.life.Tick(now)
+}
+
+// idle reports whether no work is in flight and every reader got its answer.
+func (c *control) idle(ctx context.Context) bool {
+	f, ok := c.figures(ctx)
+	if !ok || f.running+f.waiting > 0 {
+		return false
+	}
+	unread, ok := task.Ask(ctx, c.streams, func(reply chan<- int) streamMessage { return askUnread{reply: reply} })
+	return ok && unread == 0
+}
+
+func (c *control) figures(ctx context.Context) (figures, bool) {
+	return task.Ask(ctx, c.queue, func(reply chan<- figures) queueMessage { return askFigures{reply: reply} })
+}
+
+// beat sets the heartbeat of every link. A change of draining is sent at once.
+func (c *control) beat(ctx context.Context, now time.Time) {
+	if len(c.links) == 0 {
+		return
+	}
+	f, ok := c.figures(ctx)
+	if !ok {
+		return
+	}
+	h := message.Heartbeat{
+		Draining: c.life.In("leaving") || c.life.In("draining"),
+		Record:   c.digest(),
+		Load: message.Load{
+			Running: f.running, QueuedCost: f.queued, Slots: f.slots,
+			TokensPerSecond: c.load.TokensPerSecond, AgeMS: c.loadAge(now),
+		},
+	}
+	for l := range c.links {
+		l.SetHeartbeat(h)
+	}
+}
+
+func (c *control) loadAge(now time.Time) int64 {
+	if c.loadAt.IsZero() {
+		return 0
+	}
+	return c.load.AgeMS + now.Sub(c.loadAt).Milliseconds()
+}
+
+func (c *control) readiness() operations.Readiness {
+	text := c.life.State()
+	if c.refused != "" {
+		text += "; refused record: " + c.refused
+	}
+	return operations.Readiness{Ready: c.life.In("ready"), Text: text}
+}
--- /dev/null
+++ b/internal/sidecar/metrics.go
@@ -0,0 +1,40 @@
+package sidecar
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the sidecar's own figures.
+type metrics struct {
+	registry *prometheus.Registry
+	refused  *prometheus.CounterVec
+	chunks   prometheus.Counter
+	held     prometheus.Gauge
+	links    *prometheus.CounterVec
+	record   prometheus.Gauge
+	badValue prometheus.Counter
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "anvilpoint_sidecar_refused_total", Help: "Attempts refused with proof, by reason.",
+		}, []string{"reason"}),
+		chunks: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "anvilpoint_sidecar_chunks_total", Help: "Pieces of answers sent to entries.",
+		}),
+		held: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "anvilpoint_sidecar_streams", Help: "Streams that are running or held for readers.",
+		}),
+		links: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "anvilpoint_link_closed_total", Help: "Links that ended, by reason.",
+		}, []string{"reason"}),
+		record: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "anvilpoint_record_revision", Help: "Revision of the configuration record in force.",
+		}),
+		badValue: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "anvilpoint_record_refused_total", Help: "Configuration records that were refused.",
+		}),
+	}
+	m.registry.MustRegister(m.refused, m.chunks, m.held, m.links, m.record, m.badValue)
+	return m
+}
--- /dev/null
+++ b/internal/sidecar/queue.go
@@ -0,0 +1,263 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/execution"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/link"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+const (
+	queueCapacity = 1024
+	queueTick     = 50 * time.Millisecond
+	memoryTick    = time.Second
+)
+
+// queueMessage is a message to the run-queue task.
+type queueMessage interface{ isQueueMessage() }
+
+type (
+	// fromLink carries a frame of an entry.
+	fromLink struct {
+		link    *link.Link
+		message message.Message
+	}
+	// callEnded says that a call no longer uses the backend server.
+	callEnded struct {
+		key  execution.Key
+		cost int64
+	}
+	// setSlots tells how many calls the backend server runs at once.
+	setSlots struct{ slots int }
+	// setRefusal makes the queue refuse all new offers, and the waiting ones, for
+	// the reason. ReasonNone takes offers again.
+	setRefusal struct{ reason outcome.Reason }
+	// askFigures asks for the queue's part of the load report.
+	askFigures struct{ reply chan<- figures }
+)
+
+// figures is the queue's part of the load report.
+type figures struct {
+	running int
+	waiting int
+	queued  [3]int64
+	slots   int
+}
+
+func (fromLink) isQueueMessage()   {}
+func (callEnded) isQueueMessage()  {}
+func (setSlots) isQueueMessage()   {}
+func (setRefusal) isQueueMessage() {}
+func (askFigures) isQueueMessage() {}
+
+// offered is a waiting or running offer.
+type offered struct {
+	link  *link.Link
+	offer *message.Offer
+}
+
+// queue is the run-queue task: it owns the waiting work, the record of what was
+// refused, and the calls that run.
+type queue struct {
+	mailbox   *task.Mailbox[queueMessage]
+	scheduler scheduler
+	ledger    *execution.Ledger
+	offers    map[execution.Key]*offered
+	running   int
+	slots     int
+	refusal   outcome.Reason
+	start     func(key execution.Key, o *offered)
+	streams   *task.Mailbox[streamMessage]
+	metrics   *metrics
+}
+
+func newQueue(s scheduler, slots int, m *metrics) (*queue, error) {
+	ledger, err := execution.New()
+	return &queue{
+		mailbox:   task.NewMailbox[queueMessage](queueCapacity, task.Block),
+		scheduler: s,
+		ledger:    ledger,
+		offers:    make(map[execution.Key]*offered),
+		slots:     slots,
+		metrics:   m,
+	}, err
+}
+
+// run is the task.
+func (q *queue) run(ctx context.Context) error {
+	defer q.mailbox.Close()
+	tick := time.NewTicker(queueTick)
+	defer tick.Stop()
+	forget := time.NewTicker(memoryTick)
+	defer forget.Stop()
+	for {
+		select {
+		case m := <-q.mailbox.Receive():
+			q.step(time.Now(), m)
+		case now := <-tick.C:
+			q.expire(now)
+		case now := <-forget.C:
+			q.ledger.Tick(now)
+		case <-ctx.Done():
+			return nil
+		}
+		q.fill(time.Now())
+	}
+}
+
+func (q *queue) step(now time.Time, m queueMessage) {
+	switch m := m.(type) {
+	case fromLink:
+		q.frame(now, m.link, m.message)
+	case callEnded:
+		q.ended(now, m)
+	case setSlots:
+		q.slots = m.slots
+	case setRefusal:
+		q.setRefusal(now, m.reason)
+	case askFigures:
+		m.reply <- figures{running: q.running, waiting: len(q.offers) - q.running, queued: q.scheduler.queuedCost(), slots: q.slots}
+	}
+}
+
+func (q *queue) frame(now time.Time, l *link.Link, m message.Message) {
+	switch m := m.(type) {
+	case *message.Offer:
+		q.offer(now, l, m)
+	case *message.Withdraw:
+		q.withdraw(now, l, execution.Key{Request: m.Request, Attempt: m.Attempt})
+	case *message.Cancel:
+		q.cancel(now, l, execution.Key{Request: m.Request, Attempt: m.Attempt})
+	}
+}
+
+func (q *queue) offer(now time.Time, l *link.Link, m *message.Offer) {
+	key := execution.Key{Request: m.Request, Attempt: m.Attempt}
+	deadline := now.Add(time.Duration(m.RemainingMS) * time.Millisecond)
+	switch q.ledger.Arrive(now, key, deadline) {
+	case execution.Known:
+		return
+	case execution.Forbidden:
+		q.sendRefusal(l, key, outcome.ReasonDuplicateAttempt, 0)
+		return
+	case execution.Late:
+		q.sendRefusal(l, key, outcome.ReasonDeadline, 0)
+		return
+	}
+	if q.refusal != outcome.ReasonNone {
+		q.refuse(now, l, key, q.refusal, 0)
+		return
+	}
+	answer := q.scheduler.offer(now, item{
+		key: key, account: m.Account, weight: m.Weight, class: m.Class, cost: m.Cost, deadline: deadline,
+	})
+	if !answer.queued {
+		q.refuse(now, l, key, answer.reason, answer.retryAfter)
+		return
+	}
+	q.ledger.Queue(now, key)
+	q.offers[key] = &offered{link: l, offer: m}
+	l.Send(&message.Accepted{Request: key.Request, Attempt: key.Attempt})
+}
+
+// refuse records the refusal before it is sent as proof.
+func (q *queue) refuse(now time.Time, l *link.Link, key execution.Key, reason outcome.Reason, retry time.Duration) {
+	q.ledger.Refuse(now, key)
+	delete(q.offers, key)
+	q.sendRefusal(l, key, reason, retry)
+}
+
+func (q *queue) sendRefusal(l *link.Link, key execution.Key, reason outcome.Reason, retry time.Duration) {
+	q.metrics.refused.WithLabelValues(string(reason)).Inc()
+	l.Send(&message.Refused{Request: key.Request, Attempt: key.Attempt, Reason: reason, RetryAfterMS: retry.Milliseconds()})
+}
+
+func (q *queue) withdraw(now time.Time, l *link.Link, key execution.Key) {
+	if !q.takeBack(now, key) {
+		l.Send(&message.TooLate{Request: key.Request, Attempt: key.Attempt})
+		return
+	}
+	l.Send(&message.Withdrawn{Request: key.Request, Attempt: key.Attempt})
+}
+
+// takeBack removes an attempt that has not started. True is the proof that it
+// never will.
+func (q *queue) takeBack(now time.Time, key execution.Key) bool {
+	waiting := q.ledger.Waiting(key)
+	proof := q.ledger.Withdraw(now, key)
+	if waiting {
+		q.scheduler.withdraw(key)
+		delete(q.offers, key)
+	}
+	return proof
+}
+
+func (q *queue) cancel(now time.Time, l *link.Link, key execution.Key) {
+	if q.takeBack(now, key) {
+		return
+	}
+	// The streams task stops the call unless somebody else reads its answer. It
+	// knows the stream by now, since the same task opened it.
+	q.streams.Send(context.Background(), cancelReader{link: l, key: key})
+}
+
+// fill starts waiting work while the backend server has free slots.
+func (q *queue) fill(now time.Time) {
+	for q.running < q.slots {
+		next, ok := q.scheduler.next(now)
+		if !ok {
+			return
+		}
+		o := q.offers[next.key]
+		if !q.ledger.Start(now, next.key) {
+			delete(q.offers, next.key)
+			q.sendRefusal(o.link, next.key, outcome.ReasonDeadline, 0)
+			continue
+		}
+		q.running++
+		q.start(next.key, o)
+	}
+}
+
+func (q *queue) ended(now time.Time, m callEnded) {
+	q.ledger.End(now, m.key)
+	q.scheduler.charge(now, m.key, m.cost)
+	delete(q.offers, m.key)
+	q.running--
+}
+
+func (q *queue) expire(now time.Time) {
+	for _, i := range q.scheduler.expire(now) {
+		q.ledger.Expire(now, i.key)
+		if o, known := q.offers[i.key]; known {
+			delete(q.offers, i.key)
+			q.sendRefusal(o.link, i.key, outcome.ReasonDeadline, 0)
+		}
+	}
+}
+
+func (q *queue) setRefusal(now time.Time, reason outcome.Reason) {
+	q.refusal = reason
+	if reason == outcome.ReasonNone {
+		return
+	}
+	for key, o := range q.offers {
+		if q.ledger.Waiting(key) {
+			q.scheduler.withdraw(key)
+			q.refuse(now, o.link, key, reason, 0)
+		}
+	}
+}
+
+// classOf returns the class of an offer, the least urgent one if it names none.
+func classOf(o *message.Offer) ident.PriorityClass {
+	if o.Class.Valid() {
+		return o.Class
+	}
+	return ident.Batch
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,256 @@
+// Package sidecar runs the process beside one backend server. Its tasks are the
+// links to entries, the run queue (queue.go), the streams (streams.go), the
+// control task (control.go) and the tasks that read the platform.
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/anvilpoint/anvilpoint/internal/codec"
+	"github.com/anvilpoint/anvilpoint/internal/engine"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/link"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/network"
+	"github.com/anvilpoint/anvilpoint/internal/operations"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/platform"
+	"github.com/anvilpoint/anvilpoint/internal/service"
+	"github.com/anvilpoint/anvilpoint/internal/settings"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+const (
+	// firstSlots holds until the engine has reported its own number.
+	firstSlots = 1
+	// serviceSlots is the number of calls that run at once at a plain service.
+	serviceSlots = 64
+	// farewell is the time in which frames that are already queued, such as the
+	// ends of streams, still leave after the work is done.
+	farewell = 300 * time.Millisecond
+)
+
+// Options are what a sidecar needs of the process around it.
+type Options struct {
+	Settings *settings.Settings
+	Logger   zerolog.Logger
+	Events   *eventlog.Log
+	Network  network.Network
+	// Ready is called once /readyz is green.
+	Ready func()
+	// Kill ends the process at once, without draining, when it is closed.
+	Kill <-chan struct{}
+}
+
+// process is everything that runs in one sidecar.
+type process struct {
+	options Options
+	config  link.Config
+	group   *task.Group
+	metrics *metrics
+	queue   *queue
+	streams *streams
+	control *control
+	engine  *engine.Engine
+	start   ident.Incarnation
+}
+
+// Run runs a sidecar until the context ends, drains it, and returns.
+func Run(ctx context.Context, o Options) error {
+	// The address is bound before anything else: a predecessor that is paused
+	// but alive still holds it, and then this process must not serve.
+	links, err := operations.Listen(ctx, o.Network, o.Settings.LinkListen)
+	if err != nil {
+		return err
+	}
+	defer links.Close()
+	ops, err := operations.Listen(ctx, o.Network, o.Settings.Operations)
+	if err != nil {
+		return err
+	}
+	defer ops.Close()
+	p, err := assemble(ctx, o)
+	if err != nil {
+		return err
+	}
+	if err := p.serve(links, ops); err != nil {
+		return err
+	}
+	return p.wait(ctx)
+}
+
+func assemble(ctx context.Context, o Options) (*process, error) {
+	now := time.Now()
+	p := &process{
+		options: o, metrics: newMetrics(), start: ident.NewIncarnation(now),
+		group: task.NewGroup(context.WithoutCancel(ctx)),
+	}
+	c, err := codec.New()
+	if err != nil {
+		return nil, err
+	}
+	backend, slots := p.backend()
+	if p.queue, err = newQueue(&fifo{}, slots, p.metrics); err != nil {
+		return nil, err
+	}
+	if p.streams, err = newStreams(p.metrics); err != nil {
+		return nil, err
+	}
+	calls := &caller{group: p.group, backend: backend, queue: p.queue.mailbox, streams: p.streams.mailbox}
+	p.queue.start, p.queue.streams = calls.start, p.streams.mailbox
+	p.config = link.Config{
+		Codec: c, Clock: o.Events.Clock(), Hello: p.hello, Accepts: accepts, Deliver: p.deliver,
+		Closed: func(reason string) { p.metrics.links.WithLabelValues(reason).Inc() },
+	}
+	return p, p.assembleControl(now)
+}
+
+func (p *process) assembleControl(now time.Time) error {
+	c, err := newControl(now, p.options.Settings.Grace)
+	if err != nil {
+		return err
+	}
+	c.instance = p.options.Settings.Instance
+	c.queue, c.streams = p.queue.mailbox, p.streams.mailbox
+	c.logger, c.events, c.metrics, c.ready = p.options.Logger, p.options.Events, p.metrics, p.options.Ready
+	c.hasEngine = p.engine != nil
+	p.control = c
+	return nil
+}
+
+func (p *process) backend() (backend, int) {
+	client := platform.Client(p.options.Network)
+	b := p.options.Settings.Backend
+	if b.Kind == "service" {
+		return serviceBackend{service: service.New(b.URL, client)}, serviceSlots
+	}
+	p.engine = engine.New(b.URL, client)
+	return engineBackend{engine: p.engine}, firstSlots
+}
+
+// hello is called by link tasks and must not wait for the control task, which
+// may wait for a link's event to be taken; the record follows in a heartbeat.
+func (p *process) hello() message.Hello {
+	s := p.options.Settings
+	return message.Hello{
+		Version: message.ProtocolVersion, Role: message.RoleSidecar, Instance: s.Instance,
+		Server: s.Backend.Server, Domain: s.Domain, Region: s.Region, Incarnation: p.start,
+	}
+}
+
+// accepts names the frames that a sidecar takes from each role.
+func accepts(role message.Role, kind message.Kind) bool {
+	switch kind {
+	case message.KindHeartbeat, message.KindMembers, message.KindRecordDigest, message.KindRecordPull, message.KindRecordPush:
+		return true
+	case message.KindOffer, message.KindWithdraw, message.KindCancel, message.KindCredit, message.KindAttach,
+		message.KindBook, message.KindBookCommit, message.KindUsage:
+		return role == message.RoleEntry
+	case message.KindSeal, message.KindSealed, message.KindReleased, message.KindGroup:
+		return role == message.RoleSidecar
+	default:
+		return false
+	}
+}
+
+// deliver passes what arrived on a link to the task that it concerns.
+func (p *process) deliver(ctx context.Context, e link.Event) {
+	if e.Kind != link.Received {
+		p.control.mailbox.Send(ctx, linkEvent{event: e})
+	}
+	if e.Kind == link.Down {
+		p.streams.mailbox.Send(ctx, linkDown{link: e.Link})
+	}
+	for _, m := range e.Messages {
+		switch m := m.(type) {
+		case *message.Offer, *message.Withdraw, *message.Cancel:
+			p.queue.mailbox.Send(ctx, fromLink{link: e.Link, message: m})
+		case *message.Credit:
+			p.streams.mailbox.Send(ctx, creditFrame{link: e.Link, credit: m})
+		case *message.Attach:
+			p.streams.mailbox.Send(ctx, attachFrame{link: e.Link, attach: m})
+		}
+	}
+}
+
+func (p *process) serve(links, ops net.Listener) error {
+	s := p.options.Settings
+	tlsConfig, err := link.TLSConfig(s.TLS)
+	if err != nil {
+		return err
+	}
+	p.group.Go("run queue", p.queue.run)
+	p.group.Go("streams", p.streams.run)
+	p.group.Go("link listener", func(ctx context.Context) error {
+		return operations.Serve(ctx, link.Listener(links, tlsConfig), link.Accept(ctx, p.config))
+	})
+	p.group.Go("operations listener", func(ctx context.Context) error {
+		return operations.Serve(ctx, ops, operations.Handler(p.metrics.registry, p.readiness))
+	})
+	p.watchPlatform()
+	return nil
+}
+
+func (p *process) watchPlatform() {
+	s := p.options.Settings
+	client := platform.Client(p.options.Network)
+	seed := uint64(p.start)
+	watch := &platform.ConfigWatch{URL: s.ConfigService, Client: client, Random: rand.New(rand.NewPCG(seed, 1)),
+		Deliver: func(ctx context.Context, v platform.Value) { p.control.mailbox.Send(ctx, configValue{value: v}) }}
+	p.group.Go("configuration watch", watch.Run)
+	list := &platform.ListPoll{URL: s.InstanceList, Client: client, Random: rand.New(rand.NewPCG(seed, 2)),
+		Deliver: func(ctx context.Context, l platform.List) { p.control.mailbox.Send(ctx, listValue{list: l}) }}
+	p.group.Go("instance list", list.Run)
+	if p.engine == nil {
+		return
+	}
+	poll := &loadPoll{engine: p.engine, deliver: func(ctx context.Context, l engine.Load, err error) {
+		p.control.mailbox.Send(ctx, engineLoad{load: l, err: err})
+	}}
+	p.group.Go("engine load", poll.run)
+}
+
+func (p *process) readiness(ctx context.Context) operations.Readiness {
+	state, ok := task.Ask(ctx, p.control.mailbox, func(reply chan<- operations.Readiness) controlMessage {
+		return askReadiness{reply: reply}
+	})
+	if !ok {
+		return operations.Readiness{Text: "stopping"}
+	}
+	return state
+}
+
+// wait runs the control task until the process is stopped or killed.
+func (p *process) wait(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		p.control.mailbox.Send(p.group.Context(), stopProcess{})
+	})
+	defer stop()
+	done := make(chan struct{})
+	p.group.Go("control", func(ctx context.Context) error {
+		defer close(done)
+		return p.control.run(ctx)
+	})
+	select {
+	case <-p.options.Kill:
+		return errors.WithMessage(p.group.Stop(0), "killed")
+	case <-p.group.Context().Done():
+		return p.group.Stop(0)
+	case <-done:
+	}
+	p.streams.mailbox.Send(p.group.Context(), breakOff{reason: outcome.ReasonDraining})
+	timer := time.NewTimer(farewell)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.options.Kill:
+	}
+	return p.group.Stop(0)
+}
