entry: answer callers and dispatch their requests

The dispatch task owns the requests in flight and chooses servers by least outstanding behind an interface that the routing package replaces. Handlers stream events, assemble unstreamed answers, call services, read streams on, and answer problems.

--- /dev/null
+++ b/internal/entry/assemble.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/stream"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+)
+
+// completionChunk is one event of a streamed completion.
+type completionChunk struct {
+	ID      string          `json:"id"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+type chunkChoice struct {
+	Index        int        `json:"index"`
+	Delta        chunkDelta `json:"delta"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+type chunkDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// isLastPiece reports whether the event carries the end of the answer's text.
+func isLastPiece(piece []byte) bool {
+	var c completionChunk
+	if json.Unmarshal(piece, &c) != nil || len(c.Choices) == 0 {
+		return false
+	}
+	for _, choice := range c.Choices {
+		if choice.FinishReason == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// completion is an unstreamed answer.
+type completion struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []choice        `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int           `json:"index"`
+	Message      choiceMessage `json:"message"`
+	FinishReason *string       `json:"finish_reason"`
+}
+
+type choiceMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// collector puts the events of a stream together to one answer.
+type collector struct {
+	answer completion
+	texts  []*strings.Builder
+}
+
+func (c *collector) add(piece []byte) bool {
+	var chunk completionChunk
+	if json.Unmarshal(piece, &chunk) != nil {
+		return false
+	}
+	if c.answer.ID == "" {
+		c.answer.ID, c.answer.Created, c.answer.Model = chunk.ID, chunk.Created, chunk.Model
+	}
+	if len(chunk.Usage) > 0 && string(chunk.Usage) != "null" {
+		c.answer.Usage = chunk.Usage
+	}
+	for _, part := range chunk.Choices {
+		if !c.choice(part) {
+			return false
+		}
+	}
+	return true
+}
+
+// maxChoices bounds the alternatives of one answer.
+const maxChoices = 128
+
+func (c *collector) choice(part chunkChoice) bool {
+	if part.Index < 0 || part.Index >= maxChoices {
+		return false
+	}
+	for len(c.texts) <= part.Index {
+		c.texts = append(c.texts, new(strings.Builder))
+		c.answer.Choices = append(c.answer.Choices, choice{Index: len(c.answer.Choices)})
+	}
+	c.texts[part.Index].WriteString(part.Delta.Content)
+	if part.FinishReason != nil {
+		c.answer.Choices[part.Index].FinishReason = part.FinishReason
+	}
+	return true
+}
+
+func (c *collector) whole() completion {
+	c.answer.Object = "chat.completion"
+	for n, text := range c.texts {
+		c.answer.Choices[n].Message = choiceMessage{Role: "assistant", Content: text.String()}
+	}
+	return c.answer
+}
+
+// assemble answers an unstreamed completion. The work is streamed all the same,
+// so that it is resumed rather than repeated when a server fails.
+func (s *callers) assemble(w http.ResponseWriter, r *http.Request, t submitted) {
+	var c collector
+	readable := true
+	begun := false
+	for {
+		d, ok := s.next(r, t)
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		if !begun && d.end != nil && answeredOtherwise(w, d) {
+			return
+		}
+		var bytes int64
+		for _, piece := range d.pieces {
+			readable = c.add(piece) && readable
+			bytes += stream.Cost(piece)
+			begun = true
+		}
+		if d.end == nil {
+			s.dispatch.Send(context.Background(), consumed{ticket: t.ticket, bytes: bytes})
+			continue
+		}
+		writeAssembled(w, d, &c, readable)
+		return
+	}
+}
+
+func writeAssembled(w http.ResponseWriter, d delivery, c *collector, readable bool) {
+	switch {
+	case d.end.outcome.Kind != outcome.Completed:
+		writeProblem(w, d.id, d.end.outcome, d.end.retryAfter)
+	case !readable:
+		writeProblem(w, d.id, outcome.CannotTell(outcome.ReasonServerFailed, "the engine's answer is not a completion"), 0)
+	default:
+		h := w.Header()
+		h.Set(headerType, typeJSON)
+		h.Set(headerRequestID, string(d.id))
+		h.Set(headerOutcome, string(outcome.Completed))
+		_ = json.NewEncoder(w).Encode(c.whole())
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,245 @@
+// Package entry runs the process that callers connect to. Its tasks are the
+// links to sidecars, the dispatch task (dispatch.go), the control task
+// (control.go) and the tasks that read the platform. HTTP handlers talk to the
+// tasks by messages.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/anvilpoint/anvilpoint/internal/codec"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/link"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/network"
+	"github.com/anvilpoint/anvilpoint/internal/operations"
+	"github.com/anvilpoint/anvilpoint/internal/platform"
+	"github.com/anvilpoint/anvilpoint/internal/settings"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+// lastAnswers is the time in which handlers finish writing once the last
+// request has ended.
+const lastAnswers = 300 * time.Millisecond
+
+// Options are what an entry needs of the process around it.
+type Options struct {
+	Settings *settings.Settings
+	Logger   zerolog.Logger
+	Events   *eventlog.Log
+	Network  network.Network
+	// Ready is called once /readyz is green.
+	Ready func()
+	// Kill ends the process at once, without draining, when it is closed.
+	Kill <-chan struct{}
+}
+
+// process is everything that runs in one entry.
+type process struct {
+	options  Options
+	config   link.Config
+	group    *task.Group
+	metrics  *metrics
+	dispatch *dispatch
+	control  *control
+	start    ident.Incarnation
+}
+
+// listeners are the bound addresses of an entry.
+type listeners struct{ callers, links, operations net.Listener }
+
+// Run runs an entry until the context ends, drains it, and returns.
+func Run(ctx context.Context, o Options) error {
+	l, err := listen(ctx, o)
+	defer l.close()
+	if err != nil {
+		return err
+	}
+	p, err := assemble(ctx, o)
+	if err != nil {
+		return err
+	}
+	if err := p.serve(l); err != nil {
+		return err
+	}
+	return p.wait(ctx)
+}
+
+func listen(ctx context.Context, o Options) (l listeners, err error) {
+	if l.callers, err = operations.Listen(ctx, o.Network, o.Settings.Listen); err != nil {
+		return l, err
+	}
+	if l.links, err = operations.Listen(ctx, o.Network, o.Settings.LinkListen); err != nil {
+		return l, err
+	}
+	l.operations, err = operations.Listen(ctx, o.Network, o.Settings.Operations)
+	return l, err
+}
+
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.callers, l.links, l.operations} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+func assemble(ctx context.Context, o Options) (*process, error) {
+	now := time.Now()
+	p := &process{
+		options: o, metrics: newMetrics(), start: ident.NewIncarnation(now),
+		group: task.NewGroup(context.WithoutCancel(ctx)),
+	}
+	c, err := codec.New()
+	if err != nil {
+		return nil, err
+	}
+	picker := newLeastOutstanding(p.random(1))
+	if p.dispatch, err = newDispatch(picker, p.random(2), o.Settings.Instance, o.Events, p.metrics); err != nil {
+		return nil, err
+	}
+	p.config = link.Config{
+		Codec: c, Clock: o.Events.Clock(), Hello: p.hello, Accepts: accepts, Deliver: p.deliver,
+		Closed: func(reason string) { p.metrics.links.WithLabelValues(reason).Inc() },
+	}
+	return p, p.assembleControl(now)
+}
+
+func (p *process) assembleControl(now time.Time) error {
+	tlsConfig, err := link.TLSConfig(p.options.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	c, err := newControl(now, p.options.Settings.Grace)
+	if err != nil {
+		return err
+	}
+	c.instance, c.dispatch = p.options.Settings.Instance, p.dispatch.mailbox
+	c.logger, c.events, c.metrics = p.options.Logger, p.options.Events, p.metrics
+	c.ready, c.random = p.options.Ready, p.random(3)
+	c.dial = func(ctx context.Context, address string) {
+		dialer := &link.Dialer{
+			Config: p.config, Address: address, Network: p.options.Network, TLS: tlsConfig,
+			Random: rand.New(rand.NewPCG(c.random.Uint64(), c.random.Uint64())),
+		}
+		p.group.Go("link to "+address, func(context.Context) error { return dialer.Run(ctx) })
+	}
+	p.control = c
+	return nil
+}
+
+// random returns a source of its own for one task.
+func (p *process) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(p.start)^rand.Uint64(), stream))
+}
+
+func (p *process) hello() message.Hello {
+	s := p.options.Settings
+	return message.Hello{
+		Version: message.ProtocolVersion, Role: message.RoleEntry, Instance: s.Instance,
+		Domain: s.Domain, Region: s.Region, Incarnation: p.start,
+	}
+}
+
+// accepts names the frames that an entry takes from each role.
+func accepts(role message.Role, kind message.Kind) bool {
+	switch kind {
+	case message.KindHeartbeat, message.KindMembers, message.KindUsage,
+		message.KindRecordDigest, message.KindRecordPull, message.KindRecordPush:
+		return true
+	case message.KindAccepted, message.KindRefused, message.KindWithdrawn, message.KindTooLate,
+		message.KindChunk, message.KindDone, message.KindFailed, message.KindReserved, message.KindBookResult:
+		return role == message.RoleSidecar
+	default:
+		return false
+	}
+}
+
+// deliver passes what arrived on a link to the tasks that it concerns.
+func (p *process) deliver(ctx context.Context, e link.Event) {
+	if e.Kind != link.Received {
+		p.control.mailbox.Send(ctx, linkEvent{event: e})
+	}
+	if e.Link.Peer().Role == message.RoleSidecar {
+		p.dispatch.mailbox.Send(ctx, linkActivity{event: e})
+	}
+}
+
+func (p *process) serve(l listeners) error {
+	s := p.options.Settings
+	tlsConfig, err := link.TLSConfig(s.TLS)
+	if err != nil {
+		return err
+	}
+	callers := &callers{dispatch: p.dispatch.mailbox, control: p.control.mailbox, maxBody: s.MaxBodyBytes, metrics: p.metrics}
+	p.group.Go("dispatch", p.dispatch.run)
+	p.listener("caller listener", l.callers, func(context.Context) http.Handler { return callers.handler() })
+	p.listener("link listener", link.Listener(l.links, tlsConfig), func(ctx context.Context) http.Handler {
+		return link.Accept(ctx, p.config)
+	})
+	p.listener("operations listener", l.operations, func(context.Context) http.Handler {
+		return operations.Handler(p.metrics.registry, p.readiness)
+	})
+	p.watchPlatform()
+	return nil
+}
+
+func (p *process) listener(name string, l net.Listener, handler func(ctx context.Context) http.Handler) {
+	p.group.Go(name, func(ctx context.Context) error { return operations.Serve(ctx, l, handler(ctx)) })
+}
+
+func (p *process) watchPlatform() {
+	s := p.options.Settings
+	client := platform.Client(p.options.Network)
+	watch := &platform.ConfigWatch{URL: s.ConfigService, Client: client, Random: p.random(4),
+		Deliver: func(ctx context.Context, v platform.Value) { p.control.mailbox.Send(ctx, configValue{value: v}) }}
+	p.group.Go("configuration watch", watch.Run)
+	list := &platform.ListPoll{URL: s.InstanceList, Client: client, Random: p.random(5),
+		Deliver: func(ctx context.Context, l platform.List) { p.control.mailbox.Send(ctx, listValue{list: l}) }}
+	p.group.Go("instance list", list.Run)
+}
+
+func (p *process) readiness(ctx context.Context) operations.Readiness {
+	state, ok := task.Ask(ctx, p.control.mailbox, func(reply chan<- operations.Readiness) controlMessage {
+		return askReadiness{reply: reply}
+	})
+	if !ok {
+		return operations.Readiness{Text: "stopping"}
+	}
+	return state
+}
+
+// wait runs the control task until the process is stopped or killed.
+func (p *process) wait(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		p.control.mailbox.Send(p.group.Context(), stopProcess{})
+	})
+	defer stop()
+	done := make(chan struct{})
+	p.group.Go("control", func(ctx context.Context) error {
+		defer close(done)
+		return p.control.run(ctx)
+	})
+	select {
+	case <-p.options.Kill:
+		return errors.WithMessage(p.group.Stop(0), "killed")
+	case <-p.group.Context().Done():
+		return p.group.Stop(0)
+	case <-done:
+	}
+	timer := time.NewTimer(lastAnswers)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.options.Kill:
+	}
+	return p.group.Stop(0)
+}
--- /dev/null
+++ b/internal/entry/problem.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+)
+
+// Headers that anvilpoint sets or reads.
+const (
+	headerRequestID  = "Anvilpoint-Request-Id"
+	headerOutcome    = "Anvilpoint-Outcome"
+	headerClass      = "Anvilpoint-Priority-Class"
+	headerKey        = "Idempotency-Key"
+	headerLastEvent  = "Last-Event-ID"
+	headerRetryAfter = "Retry-After"
+	headerType       = "Content-Type"
+)
+
+const (
+	typeProblem = "application/problem+json"
+	typeJSON    = "application/json"
+	typeEvents  = "text/event-stream"
+)
+
+// problem is an RFC 9457 problem document.
+type problem struct {
+	Type    string         `json:"type"`
+	Title   string         `json:"title"`
+	Status  int            `json:"status"`
+	Detail  string         `json:"detail,omitempty"`
+	Outcome outcome.Kind   `json:"outcome"`
+	Reason  outcome.Reason `json:"reason"`
+}
+
+func newProblem(o outcome.Outcome) problem {
+	status := statusOf(o)
+	return problem{
+		Type: "urn:anvilpoint:problem:" + string(o.Reason), Title: http.StatusText(status), Status: status,
+		Detail: o.Detail, Outcome: o.Kind, Reason: o.Reason,
+	}
+}
+
+// statusOf returns the HTTP status of an outcome other than Completed.
+func statusOf(o outcome.Outcome) int {
+	switch o.Reason {
+	case outcome.ReasonUnauthenticated:
+		return http.StatusUnauthorized
+	case outcome.ReasonForbidden:
+		return http.StatusForbidden
+	case outcome.ReasonNotFound, outcome.ReasonStreamGone:
+		return http.StatusNotFound
+	case outcome.ReasonMalformed, outcome.ReasonKeyFuture:
+		return http.StatusBadRequest
+	case outcome.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case outcome.ReasonAccountShare:
+		return http.StatusTooManyRequests
+	case outcome.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case outcome.ReasonInternal:
+		return http.StatusInternalServerError
+	}
+	if o.Kind == outcome.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// writeProblem answers with a problem document.
+func writeProblem(w http.ResponseWriter, id ident.RequestID, o outcome.Outcome, retryAfter time.Duration) {
+	p := newProblem(o)
+	h := w.Header()
+	h.Set(headerType, typeProblem)
+	h.Set(headerOutcome, string(o.Kind))
+	if id != "" {
+		h.Set(headerRequestID, string(id))
+	}
+	if p.Status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusTooManyRequests {
+		seconds := max(int64((retryAfter+time.Second-1)/time.Second), 1)
+		h.Set(headerRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(p.Status)
+	// The caller may have gone away; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(p)
+}
--- /dev/null
+++ b/internal/entry/services.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/request"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/service"
+)
+
+// serviceCost is the cost of a call of a plain service, in tokens.
+const serviceCost = 1
+
+// service answers /v1/services/{service}/{path}.
+func (s *callers) service(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	d, account, ok := s.identify(w, r)
+	if !ok {
+		return
+	}
+	name := ident.ServiceName(p.ByName("service"))
+	wanted, known := d.snapshot.Services[name]
+	if !known {
+		refuse(w, outcome.ReasonNotFound, "the service is not known")
+		return
+	}
+	if !slices.Contains(account.Services, name) {
+		refuse(w, outcome.ReasonForbidden, "the account may not use this service")
+		return
+	}
+	class, why, ok := d.class(account, r)
+	if !ok {
+		writeProblem(w, "", why, 0)
+		return
+	}
+	body, ok := s.body(w, r)
+	if !ok {
+		return
+	}
+	sub := serviceSubmission(account, class, wanted, r, p.ByName("path"), body)
+	if !sub.plan.Repeatable && sub.query.key == "" {
+		refuse(w, outcome.ReasonMalformed, "a call that is not repeatable needs an Idempotency-Key")
+		return
+	}
+	t, ok := s.submit(w, r, sub)
+	if !ok {
+		return
+	}
+	if end, ok := s.next(r, t); ok {
+		answerService(w, end)
+	}
+}
+
+func serviceSubmission(a record.Account, class record.Class, wanted record.Service, r *http.Request, path string, body []byte) submission {
+	repeatable := isRepeatable(wanted, r.Method, path)
+	sub := submission{
+		offer: message.Offer{
+			Account: a.ID, Weight: a.Weight, Class: class.Name, Cost: serviceCost,
+			Service: wanted.Name, Method: r.Method, Path: path, Header: service.PassedOn(r.Header), Body: body,
+		},
+		query:   query{service: wanted.Name, account: a.ID, class: class.Name, cost: serviceCost},
+		plan:    request.Plan{Deadline: deadlineOf(class), Repeatable: repeatable},
+		collect: true,
+	}
+	if r.URL.RawQuery != "" {
+		sub.offer.Path += "?" + r.URL.RawQuery
+	}
+	if !repeatable && r.Header.Get(headerKey) != "" {
+		sub.query.key = string(a.ID) + "\x00" + string(wanted.Name) + "\x00" + r.Header.Get(headerKey)
+	}
+	return sub
+}
+
+func isRepeatable(s record.Service, method, path string) bool {
+	for _, pattern := range s.Repeatable {
+		if (pattern.Method == "" || pattern.Method == method) && strings.HasPrefix(path, pattern.Prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+func answerService(w http.ResponseWriter, d delivery) {
+	if d.end.outcome.Kind != outcome.Completed {
+		writeProblem(w, d.id, d.end.outcome, d.end.retryAfter)
+		return
+	}
+	writePlain(w, d)
+}
+
+// writePlain passes on a whole answer with its own status and headers.
+func writePlain(w http.ResponseWriter, d delivery) {
+	h := w.Header()
+	for _, field := range d.end.done.Header {
+		h.Add(field[0], field[1])
+	}
+	size := 0
+	for _, piece := range d.pieces {
+		size += len(piece)
+	}
+	h.Set("Content-Length", strconv.Itoa(size))
+	h.Set(headerRequestID, string(d.id))
+	h.Set(headerOutcome, string(outcome.Completed))
+	w.WriteHeader(d.end.done.Status)
+	for _, piece := range d.pieces {
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/request"
+	"github.com/anvilpoint/anvilpoint/internal/decide/stream"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+)
+
+const (
+	// eventBuffer collects the events of one delivery into one write.
+	eventBuffer = 8 << 10
+	// readOnLimit is how long a caller waits for the holder of a stream.
+	readOnLimit = 10 * time.Second
+	// readOnRefusals is how many sidecars are asked for a stream.
+	readOnRefusals = 64
+)
+
+// stream answers with server-sent events. Nothing is written before the first
+// piece or the end has arrived, so that a request that was not run still gets
+// its status code.
+func (s *callers) stream(w http.ResponseWriter, r *http.Request, t submitted) {
+	out := events{control: http.NewResponseController(w), writer: w}
+	for {
+		d, ok := s.next(r, t)
+		if !ok {
+			out.breakOff()
+			return
+		}
+		if !out.begun {
+			if d.end != nil && answeredOtherwise(w, d) {
+				return
+			}
+			out.begin(d.id)
+		}
+		bytes := out.pieces(d)
+		if d.end != nil {
+			out.end(d.end)
+			return
+		}
+		if !out.flush() {
+			s.dispatch.Send(context.Background(), callerLeft{ticket: t.ticket})
+			return
+		}
+		s.dispatch.Send(context.Background(), consumed{ticket: t.ticket, bytes: bytes})
+	}
+}
+
+// answeredOtherwise writes the answer of a request that ended without a stream:
+// a problem, or what the engine answered instead of one.
+func answeredOtherwise(w http.ResponseWriter, d delivery) bool {
+	if d.end.outcome.Kind != outcome.Completed {
+		writeProblem(w, d.id, d.end.outcome, d.end.retryAfter)
+		return true
+	}
+	if done := d.end.done; done != nil && done.Status != http.StatusOK {
+		writePlain(w, d)
+		return true
+	}
+	return false
+}
+
+// events writes server-sent events.
+type events struct {
+	control *http.ResponseController
+	writer  http.ResponseWriter
+	buffer  *bufio.Writer
+	number  []byte
+	begun   bool
+}
+
+func (e *events) begin(id ident.RequestID) {
+	h := e.writer.Header()
+	h.Set(headerType, typeEvents)
+	h.Set("Cache-Control", "no-store")
+	h.Set(headerRequestID, string(id))
+	e.writer.WriteHeader(http.StatusOK)
+	e.buffer = bufio.NewWriterSize(e.writer, eventBuffer)
+	e.begun = true
+}
+
+// pieces writes the events of a delivery and returns the credit they used.
+// Errors of the buffer stay until flush reports them.
+func (e *events) pieces(d delivery) int64 {
+	var bytes int64
+	for n, piece := range d.pieces {
+		e.number = strconv.AppendUint(e.number[:0], d.first+uint64(n), 10)
+		_, _ = e.buffer.WriteString("id: ")
+		_, _ = e.buffer.Write(e.number)
+		_, _ = e.buffer.WriteString("\ndata: ")
+		_, _ = e.buffer.Write(piece)
+		_, _ = e.buffer.WriteString("\n\n")
+		bytes += stream.Cost(piece)
+	}
+	return bytes
+}
+
+func (e *events) flush() bool {
+	return e.buffer.Flush() == nil && e.control.Flush() == nil
+}
+
+// end writes the last event: [DONE] after a whole answer, otherwise an event
+// named error with a problem document, so that a cut-off answer is never taken
+// for a whole one.
+func (e *events) end(end *ending) {
+	if end.outcome.Kind == outcome.Completed {
+		_, _ = e.buffer.WriteString("data: [DONE]\n\n")
+		e.flush()
+		return
+	}
+	document, err := json.Marshal(newProblem(end.outcome))
+	if err != nil {
+		document = []byte("{}")
+	}
+	_, _ = e.buffer.WriteString("event: error\ndata: ")
+	_, _ = e.buffer.Write(document)
+	_, _ = e.buffer.WriteString("\n\n")
+	e.flush()
+}
+
+// breakOff ends an unfinished answer in a way that the caller notices: the
+// connection closes without the end of the chunked body.
+func (e *events) breakOff() {
+	if e.begun {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// readOn answers GET /v1/streams/{id}: the events after Last-Event-ID of a
+// stream that the same account requested.
+func (s *callers) readOn(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	_, account, ok := s.identify(w, r)
+	if !ok {
+		return
+	}
+	id := ident.RequestID(p.ByName("id"))
+	if _, named := id.Holder(); !named {
+		refuse(w, outcome.ReasonNotFound, "this is not the id of a request")
+		return
+	}
+	var after uint64
+	if text := r.Header.Get(headerLastEvent); text != "" {
+		var err error
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			refuse(w, outcome.ReasonMalformed, "Last-Event-ID is not a sequence number")
+			return
+		}
+	}
+	t, ok := s.submit(w, r, submission{
+		attach: id, after: after,
+		offer: message.Offer{Account: account.ID},
+		plan:  request.Plan{Deadline: readOnLimit, Repeatable: true, MaxRefusals: readOnRefusals},
+	})
+	if ok {
+		s.stream(w, r, t)
+	}
+}
