--- /dev/null
+++ b/internal/pathtest/engine.go
@@ -0,0 +1,148 @@
+package pathtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// Call is one completion that reached an engine.
+type Call struct {
+	ID     string
+	Resume int
+	// Context ends when the sidecar closes the connection.
+	Closed <-chan struct{}
+}
+
+// Engine is a tiny model engine: token n of every answer is the text "tn ".
+type Engine struct {
+	*httptest.Server
+	// Calls receives each completion as it begins. It is never full in a test.
+	Calls chan Call
+	// Canceled receives the id of each canceled request.
+	Canceled chan string
+	behavior Behavior
+}
+
+// Behavior says how an engine answers. It is not changed once the engine runs.
+type Behavior struct {
+	Tokens int
+	// Pause is the time between tokens.
+	Pause time.Duration
+	// DieAfter breaks the connection of every call after that many tokens of the
+	// call. Zero means never.
+	DieAfter int
+	// Hold, if not nil, makes each call wait before the token HoldAt until the
+	// channel is closed.
+	Hold   <-chan struct{}
+	HoldAt int
+	Slots  int
+	// Leaving reports whether the engine says that it is leaving.
+	Leaving func() bool
+	// Padding is appended to each token's text.
+	Padding string
+}
+
+// completionBody is what the engine reads of a request.
+type completionBody struct {
+	Stream bool `json:"stream"`
+	Resume int  `json:"anvilpoint_resume"`
+}
+
+// loadReport is the engine's load report.
+type loadReport struct {
+	Slots   int  `json:"slots"`
+	Leaving bool `json:"leaving"`
+}
+
+// NewEngine starts an engine on loopback.
+func NewEngine(b Behavior) *Engine {
+	if b.Slots == 0 {
+		b.Slots = 64
+	}
+	e := &Engine{Calls: make(chan Call, 4096), Canceled: make(chan string, 4096), behavior: b}
+	router := httprouter.New()
+	router.POST("/v1/chat/completions", e.complete)
+	router.GET("/v1/load", e.load)
+	router.DELETE("/v1/requests/:id", func(_ http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+		e.Canceled <- p.ByName("id")
+	})
+	e.Server = httptest.NewServer(router)
+	return e
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	leaving := e.behavior.Leaving != nil && e.behavior.Leaving()
+	_ = json.NewEncoder(w).Encode(loadReport{Slots: e.behavior.Slots, Leaving: leaving})
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var body completionBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || !body.Stream {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.Calls <- Call{ID: r.Header.Get("X-Request-Id"), Resume: body.Resume, Closed: r.Context().Done()}
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for n := body.Resume + 1; n <= e.behavior.Tokens; n++ {
+		if !e.mayEmit(r, n, n-body.Resume) {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "data: %s\n\n", Event(n, e.behavior.Tokens, e.behavior.Padding))
+		if control.Flush() != nil {
+			return
+		}
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// mayEmit waits until token n is due. False means that the call breaks off.
+func (e *Engine) mayEmit(r *http.Request, n, ofCall int) bool {
+	b := e.behavior
+	if b.DieAfter > 0 && ofCall > b.DieAfter {
+		return false
+	}
+	if b.Hold != nil && n == b.HoldAt {
+		select {
+		case <-b.Hold:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	if b.Pause == 0 {
+		return r.Context().Err() == nil
+	}
+	timer := time.NewTimer(b.Pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// Event returns the data of token n out of the given number.
+func Event(n, tokens int, padding string) string {
+	finish := "null"
+	if n == tokens {
+		finish = `"stop"`
+	}
+	return fmt.Sprintf(`{"id":"c","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":"t%d %s"},"finish_reason":%s}]}`,
+		n, padding, finish)
+}
+
+// Text returns the text of a whole answer.
+func Text(tokens int, padding string) string {
+	var b strings.Builder
+	for n := 1; n <= tokens; n++ {
+		fmt.Fprintf(&b, "t%d %s", n, padding)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/pathtest/events.go
@@ -0,0 +1,44 @@
+package pathtest
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strings"
+)
+
+func bodyReader(body []byte) io.Reader { return bytes.NewReader(body) }
+
+// SSE is one server-sent event.
+type SSE struct {
+	ID, Name, Data string
+}
+
+// Events reads server-sent events one by one.
+type Events struct{ scanner *bufio.Scanner }
+
+// NewEvents reads events from an answer's body.
+func NewEvents(body io.Reader) *Events {
+	s := bufio.NewScanner(body)
+	s.Buffer(make([]byte, 64<<10), 1<<20)
+	return &Events{scanner: s}
+}
+
+// Next returns the next event. False means that the body ended.
+func (e *Events) Next() (SSE, bool) {
+	var event SSE
+	for e.scanner.Scan() {
+		field, value, _ := strings.Cut(e.scanner.Text(), ": ")
+		switch field {
+		case "id":
+			event.ID = value
+		case "event":
+			event.Name = value
+		case "data":
+			event.Data = value
+		case "":
+			return event, true
+		}
+	}
+	return SSE{}, false
+}
--- /dev/null
+++ b/internal/pathtest/path_test.go
@@ -0,0 +1,126 @@
+package pathtest_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/pathtest"
+)
+
+// fixture is a world of one test.
+type fixture struct {
+	*testing.T
+	ctx       context.Context
+	world     *pathtest.World
+	backends  []pathtest.Backend
+	addresses []string
+	sidecars  []*pathtest.Process
+	entries   []*pathtest.Process
+}
+
+func newFixture(t *testing.T, backends ...pathtest.Backend) *fixture {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	world, addresses, err := pathtest.NewWorld(ctx, backends, zerolog.New(zerolog.NewTestWriter(t)))
+	must.NoError(t, err)
+	f := &fixture{T: t, ctx: ctx, world: world, backends: backends, addresses: addresses}
+	t.Cleanup(func() { cancel(); world.Close() })
+	return f
+}
+
+// start starts all sidecars and the entries.
+func (f *fixture) start(entries int) {
+	f.Helper()
+	for n, b := range f.backends {
+		p, err := f.world.StartSidecar(b, f.addresses[n])
+		must.NoError(f, err)
+		f.sidecars = append(f.sidecars, p)
+	}
+	for n := range entries {
+		p, err := f.world.StartEntry("entry-" + strconv.Itoa(n))
+		must.NoError(f, err)
+		f.entries = append(f.entries, p)
+	}
+}
+
+func engineBackend(name string, e *pathtest.Engine) pathtest.Backend {
+	return pathtest.Backend{Server: ident.ServerID(name), Kind: "engine", URL: e.URL}
+}
+
+func (f *fixture) do(entry int, method, path, key string, body []byte, headers ...string) *http.Response {
+	f.Helper()
+	r, err := pathtest.Request(f.ctx, method, "http://"+f.entries[entry].Address+path, key, body)
+	must.NoError(f, err)
+	for n := 0; n < len(headers); n += 2 {
+		r.Header.Set(headers[n], headers[n+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	must.NoError(f, err)
+	f.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+func (f *fixture) complete(entry int, stream bool) *http.Response {
+	f.Helper()
+	return f.do(entry, http.MethodPost, "/v1/chat/completions", pathtest.Key, pathtest.Completion(stream))
+}
+
+// readStream checks that events follow each other without a gap and returns the
+// last sequence and whether the stream ended whole.
+func readStream(t *testing.T, body io.Reader, after, tokens int) (last int, whole bool) {
+	t.Helper()
+	events := pathtest.NewEvents(body)
+	last = after
+	for {
+		e, ok := events.Next()
+		if !ok {
+			return last, false
+		}
+		if e.Data == "[DONE]" {
+			return last, true
+		}
+		if e.Name == "error" {
+			t.Logf("error event: %s", e.Data)
+			return last, false
+		}
+		last++
+		must.Eq(t, strconv.Itoa(last), e.ID)
+		must.Eq(t, pathtest.Event(last, tokens, ""), e.Data)
+	}
+}
+
+// Guards against a path that loses, doubles or reorders tokens when nothing fails.
+func TestStreamedAndUnstreamedCompletion(t *testing.T) {
+	engine := pathtest.NewEngine(pathtest.Behavior{Tokens: 50})
+	defer engine.Close()
+	f := newFixture(t, engineBackend("e0", engine))
+	f.start(1)
+
+	r := f.complete(0, true)
+	must.Eq(t, http.StatusOK, r.StatusCode)
+	must.StrHasPrefix(t, "r-", r.Header.Get("Anvilpoint-Request-Id"))
+	last, whole := readStream(t, r.Body, 0, 50)
+	must.Eq(t, 50, last)
+	must.True(t, whole)
+
+	r = f.complete(0, false)
+	must.Eq(t, http.StatusOK, r.StatusCode)
+	must.Eq(t, "completed", r.Header.Get("Anvilpoint-Outcome"))
+	var answer struct {
+		Choices []struct {
+			Message      struct{ Content string }
+			FinishReason string `json:"finish_reason"`
+		}
+	}
+	must.NoError(t, json.NewDecoder(r.Body).Decode(&answer))
+	must.Eq(t, pathtest.Text(50, ""), answer.Choices[0].Message.Content)
+	must.Eq(t, "stop", answer.Choices[0].FinishReason)
+}
--- /dev/null
+++ b/internal/pathtest/world.go
@@ -0,0 +1,260 @@
+// Package pathtest runs entries and sidecars over loopback against tiny engines
+// and services, for end-to-end tests and for the measurement of the relay.
+package pathtest
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/anvilpoint/anvilpoint/hlc"
+	"github.com/anvilpoint/anvilpoint/internal/entry"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/network"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/settings"
+	"github.com/anvilpoint/anvilpoint/internal/sidecar"
+)
+
+// Keys of the two accounts of a world.
+const (
+	Key      = "key-of-account-a"
+	OtherKey = "key-of-account-b"
+)
+
+// Names in the record of a world.
+const (
+	Model   ident.ModelName   = "m"
+	Service ident.ServiceName = "logbook"
+)
+
+// Backend is a backend server of a world.
+type Backend struct {
+	Server ident.ServerID
+	// Kind is engine or service.
+	Kind string
+	URL  string
+}
+
+// Process is a running entry or sidecar.
+type Process struct {
+	// Address is where callers reach an entry, or entries reach a sidecar.
+	Address    string
+	Operations string
+	// Done receives the result of Run once.
+	Done <-chan error
+	stop context.CancelFunc
+	kill chan struct{}
+}
+
+// Stop asks the process to drain.
+func (p *Process) Stop() { p.stop() }
+
+// Kill ends the process at once.
+func (p *Process) Kill() { close(p.kill) }
+
+// World is a set of processes over loopback.
+type World struct {
+	ctx      context.Context
+	platform *httptest.Server
+	// Grace is the grace period of processes started from now on.
+	Grace   time.Duration
+	Network network.Network
+	logger  zerolog.Logger
+}
+
+// NewWorld starts the configuration service and the instance list. The record
+// names the backends, each with a sidecar address of its own, which is returned
+// in the same order.
+func NewWorld(ctx context.Context, backends []Backend, logger zerolog.Logger) (*World, []string, error) {
+	addresses, err := freeAddresses(len(backends))
+	if err != nil {
+		return nil, nil, err
+	}
+	value, err := recordValue(backends, addresses)
+	if err != nil {
+		return nil, nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/values/anvilpoint.record", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Anvilpoint-Store-Revision", "1")
+		if r.URL.Query().Get("after") != "" {
+			select {
+			case <-r.Context().Done():
+			case <-ctx.Done():
+			}
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		_, _ = w.Write(value)
+	})
+	mux.HandleFunc("/v1/instances", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("[]")) })
+	return &World{
+		ctx: ctx, platform: httptest.NewServer(mux), Grace: 5 * time.Second, Network: network.System{}, logger: logger,
+	}, addresses, nil
+}
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "free address")
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func recordValue(backends []Backend, addresses []string) ([]byte, error) {
+	s := &record.Snapshot{
+		Accounts: map[ident.ClientAccount]record.Account{"a": account("a", Key), "b": account("b", OtherKey)},
+		Classes: map[ident.PriorityClass]record.Class{
+			ident.Interactive: class(ident.Interactive, 0.5), ident.Analytical: class(ident.Analytical, 0.2), ident.Batch: class(ident.Batch, 0.1),
+		},
+		BookingShare: 0.1,
+		Models:       map[ident.ModelName]record.Model{Model: {Name: Model, Version: "v1", Bytes: 1}, "other": {Name: "other", Version: "v1", Bytes: 1}},
+		Replicas:     map[ident.ServerID]record.Replica{}, Services: map[ident.ServiceName]record.Service{},
+		Groups: map[ident.GroupID]record.Group{}, WeightStoreRate: 1 << 30,
+	}
+	logbook := record.Service{Name: Service, OpaqueKeyWindow: 24 * time.Hour, Repeatable: []record.CallPattern{{Method: "GET", Prefix: "/"}}}
+	for n, b := range backends {
+		if b.Kind == "service" {
+			logbook.Replicas = append(logbook.Replicas, record.ServiceReplica{ID: b.Server, Address: addresses[n], Domain: "d"})
+			continue
+		}
+		s.Replicas[b.Server] = record.Replica{ID: b.Server, Address: addresses[n], Domain: "d", Role: record.RoleServe, Model: Model}
+	}
+	s.Services[Service] = logbook
+	if len(logbook.Replicas) == 0 {
+		s.Services = map[ident.ServiceName]record.Service{}
+		for id, a := range s.Accounts {
+			a.Services = nil
+			s.Accounts[id] = a
+		}
+	}
+	value, err := record.Encode(record.NewestSchema, s)
+	if err != nil {
+		return nil, err
+	}
+	return record.Stamp(value, 1)
+}
+
+func account(id ident.ClientAccount, key string) record.Account {
+	sum := sha256.Sum256([]byte(key))
+	return record.Account{
+		ID: id, KeyHashes: []string{hex.EncodeToString(sum[:])}, Weight: 1,
+		Classes: []ident.PriorityClass{ident.Interactive, ident.Batch}, Models: []ident.ModelName{Model}, Services: []ident.ServiceName{Service},
+	}
+}
+
+func class(name ident.PriorityClass, share float64) record.Class {
+	return record.Class{
+		Name: name, FirstTokenTarget: time.Second, TokenTarget: time.Second, Deadline: 10 * time.Second, Worth: 1, Share: share,
+	}
+}
+
+// Close stops the configuration service and the instance list.
+func (w *World) Close() {
+	w.platform.CloseClientConnections()
+	w.platform.Close()
+}
+
+func (w *World) settings(role message.Role, name, links string) (*settings.Settings, error) {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
+	}
+	if links == "" {
+		links = addresses[1]
+	}
+	return &settings.Settings{
+		Role: role, Instance: ident.InstanceID(name), Domain: "d", Region: "default",
+		Listen: addresses[0], LinkListen: links, Operations: addresses[2],
+		ConfigService: w.platform.URL, InstanceList: w.platform.URL, Grace: w.Grace,
+		TLS: settings.TLS{PlainText: true}, MaxBodyBytes: 1 << 20,
+	}, nil
+}
+
+// StartEntry starts an entry and waits until it is ready.
+func (w *World) StartEntry(name string) (*Process, error) {
+	s, err := w.settings(message.RoleEntry, name, "")
+	if err != nil {
+		return nil, err
+	}
+	return w.start(s, s.Listen, func(ctx context.Context, ready func(), kill <-chan struct{}) error {
+		return entry.Run(ctx, entry.Options{Settings: s, Logger: w.logger, Events: w.events(), Network: w.Network, Ready: ready, Kill: kill})
+	})
+}
+
+// StartSidecar starts the sidecar of a backend and waits until it is ready.
+func (w *World) StartSidecar(b Backend, address string) (*Process, error) {
+	s, err := w.settings(message.RoleSidecar, string(b.Server), address)
+	if err != nil {
+		return nil, err
+	}
+	s.Backend = &settings.Backend{Server: b.Server, Kind: b.Kind, URL: b.URL}
+	return w.start(s, address, func(ctx context.Context, ready func(), kill <-chan struct{}) error {
+		return sidecar.Run(ctx, sidecar.Options{Settings: s, Logger: w.logger, Events: w.events(), Network: w.Network, Ready: ready, Kill: kill})
+	})
+}
+
+func (w *World) events() *eventlog.Log { return eventlog.Discard(hlc.New(time.Now)) }
+
+func (w *World) start(s *settings.Settings, address string, run func(ctx context.Context, ready func(), kill <-chan struct{}) error) (*Process, error) {
+	ctx, stop := context.WithCancel(w.ctx)
+	done := make(chan error, 1)
+	ready := make(chan struct{})
+	p := &Process{Address: address, Operations: s.Operations, Done: done, stop: stop, kill: make(chan struct{})}
+	go func() { done <- run(ctx, func() { close(ready) }, p.kill) }()
+	select {
+	case <-ready:
+		return p, nil
+	case err := <-done:
+		stop()
+		return nil, errors.WithMessagef(err, "%s ended before it was ready", s.Instance)
+	}
+}
+
+// Request returns an HTTP request to an entry with the key of an account.
+func Request(ctx context.Context, method, url, key string, body []byte) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, method, url, bodyReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	return r, nil
+}
+
+// completionRequest is the body of a completion.
+type completionRequest struct {
+	Model    ident.ModelName `json:"model"`
+	Stream   bool            `json:"stream"`
+	Messages []chatMessage   `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Completion returns the body of a completion request.
+func Completion(stream bool) []byte {
+	body, err := json.Marshal(completionRequest{Model: Model, Stream: stream, Messages: []chatMessage{{Role: "user", Content: "hello"}}})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
