expertmap: leave the formation if a late order stops the engine again

Cause: an order without an answer is sent again; a late copy of it can stop an engine after the decision, and nobody would release it.

Change: a rank that is in no switch but whose engine waits for a decision leaves the formation, and the group re-forms. The random run now also delivers orders that were reported as unanswered, to engines that check fencing tokens.

--- a/internal/decide/expertmap/engine.go
+++ b/internal/decide/expertmap/engine.go
@@ -49,11 +49,18 @@
 	if r.engine.content == nil && s.Map != nil && s.Armed == 0 {
 		r.engine.epoch, r.engine.content = s.Next, s.Map
 	}
-	if restarted {
+	if restarted || r.stoppedForNothing() {
 		r.loseEngine()
 	}
 }
 
+// stoppedForNothing holds when the engine waits for a decision that nobody will
+// make: a late copy of an order that was already carried out stopped it again.
+func (r *Rank) stoppedForNothing() bool {
+	return r.engine.state.Armed != 0 && r.engine.outstanding == nil && len(r.engine.waiting) == 0 &&
+		r.formation.In("formed") && r.change.In("idle")
+}
+
 // loseEngine leaves the formation because the engine no longer keeps its part.
 func (r *Rank) loseEngine() {
 	r.engine.waiting = nil
--- a/internal/decide/expertmap/world_test.go
+++ b/internal/decide/expertmap/world_test.go
@@ -151,6 +151,10 @@
 		id = f.reply.ID
 	}
 	w.bag = append(w.bag, flight{to: f.to, incarnation: f.incarnation, reply: &expertmap.OrderReply{ID: id, Result: expertmap.ResultUnanswered}, sent: w.now})
+	if f.order != nil && w.fencing {
+		// The order still arrives; only the fencing token protects the engine.
+		w.bag = append(w.bag, f)
+	}
 }
 
 // advance moves the clock. Orders to engines that ignore fencing tokens are
