standin/group: run the engines of a group in lock-step over HTTP

The task runs steps whose time follows from the map, the popularity of the experts and the ranks' speeds, and keeps the record of steps with two maps. The interface is GET /v1/group and POST /v1/group/load, arm and release; arming for step 0 holds the engine. internal/engine speaks it.

--- a/internal/standin/group/engine.go
+++ b/internal/standin/group/engine.go
@@ -212,3 +212,6 @@
 
 // Inside reports whether the rank is in a step that has not ended.
 func (g *Ranks) Inside(r ident.Rank) bool { return g.ranks[r].inside }
+
+// Map returns the map of the first rank, which all ranks use after a whole step.
+func (g *Ranks) Map() *expertmap.Map { return g.ranks[0].maps[g.ranks[0].current] }
--- /dev/null
+++ b/internal/standin/group/group_test.go
@@ -0,0 +1,78 @@
+package group_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/balance"
+	"github.com/anvilpoint/anvilpoint/internal/decide/expertmap"
+	"github.com/anvilpoint/anvilpoint/internal/engine"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/standin/group"
+)
+
+// Guards against a ground truth that does not see two maps in one step.
+func TestTwoMapsAreRecorded(t *testing.T) {
+	a := balance.Initial(1, 4, []int{2, 2})
+	b, _ := a.Apply([]expertmap.Change{{Rank: 0, Slot: 0, Expert: 1}, {Rank: 1, Slot: 0, Expert: 0}})
+	g := group.NewRanks(2, true)
+	for r, m := range []*expertmap.Map{a, b} {
+		token := expertmap.Epoch(10 + r)
+		for _, o := range []expertmap.Order{
+			{Kind: expertmap.OrderHold, Token: token}, {Kind: expertmap.OrderLoad, Token: token, Map: m},
+			{Kind: expertmap.OrderArm, Token: token, Step: 1}, {Kind: expertmap.OrderRelease, Token: token, Run: token},
+		} {
+			must.Eq(t, expertmap.ResultDone, g.Order(ident.Rank(r), o))
+		}
+		must.Eq(t, expertmap.ResultFenced, g.Order(ident.Rank(r), expertmap.Order{Kind: expertmap.OrderHold, Token: token - 1}))
+	}
+	must.True(t, g.Enter(0))
+	must.Len(t, 0, g.TwoMaps())
+	must.True(t, g.Enter(1))
+	must.Len(t, 1, g.TwoMaps())
+	must.Eq(t, uint64(1), g.Completed())
+}
+
+// Guards against an HTTP interface that differs from the orders behind it.
+func TestInterface(t *testing.T) {
+	c := group.Defaults()
+	c.Ranks, c.Layers, c.Experts, c.LoadTime = 1, 1, 4, 0
+	g := group.New(c)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	server := httptest.NewServer(g.Handler(0))
+	defer server.Close()
+	e := engine.New(server.URL, server.Client())
+	order := func(call string, o engine.GroupOrder) engine.GroupAnswer {
+		a, err := e.GroupOrder(ctx, call, o)
+		must.NoError(t, err)
+		return a
+	}
+	must.True(t, order("arm", engine.GroupOrder{Token: 7}).State.Held)
+	must.Eq(t, engine.RefusedLost, order("release", engine.GroupOrder{Token: 7, Run: 7}).Refused)
+	m := balance.Initial(1, 4, []int{5})
+	must.Eq(t, "", order("load", engine.GroupOrder{Token: 7, Map: m.Layers}).Refused)
+	must.Eq(t, uint64(0), order("arm", engine.GroupOrder{Token: 7, Step: 3}).State.Entered-2)
+	must.Eq(t, expertmap.Epoch(7), order("release", engine.GroupOrder{Token: 7, Run: 7}).State.Next)
+	must.Eq(t, engine.RefusedFenced, order("arm", engine.GroupOrder{Token: 6, Step: 9}).Refused)
+	_, err := e.GroupOrder(ctx, "load", engine.GroupOrder{Token: 8, Map: m.Layers[:0]})
+	must.ErrorContains(t, err, "status 400")
+	for {
+		truth, err := g.Truth(ctx)
+		must.NoError(t, err)
+		must.Len(t, 0, truth.TwoMaps)
+		if truth.Steps > 2 {
+			break
+		}
+	}
+	state, err := e.Group(ctx, true)
+	must.NoError(t, err)
+	must.Eq(t, m.Layers, state.Map)
+	must.Positive(t, state.Work[0][0])
+	cancel()
+	must.NoError(t, <-ended)
+}
