sidecar: run a rank's part in an expert-parallel group

Change: a group task owns the decision for its rank, the links to other ranks and, at the leader, the plans. Links are opened when a message needs one and closed when idle, so that normally only the leader holds any. A second task calls the engine, one call at a time. The state and step time of the group go into load reports. The switch step is counted from a fresh reading of the engine's step, since a polled one is up to 250 ms old. The stand-in now says for each rank whether it checks fencing tokens.

--- a/internal/decide/expertmap/charts.go
+++ b/internal/decide/expertmap/charts.go
@@ -85,6 +85,7 @@
 			"commitFormation": (*Rank).commitFormation,
 			"startSwitch":     (*Rank).startSwitch,
 			"sendPrepare":     (*Rank).sendPrepare,
+			"readStep":        (*Rank).readStep,
 			"chooseStep":      (*Rank).chooseStep,
 			"sendArm":         (*Rank).sendArm,
 			"armOwn":          (*Rank).armOwn,
--- a/internal/decide/expertmap/engine.go
+++ b/internal/decide/expertmap/engine.go
@@ -140,10 +140,16 @@
 	}
 }
 
-// readBack checks, before a release, that the engine still waits for the
+// readBack takes the step from which a switch is counted, or checks, before a release, that the engine still waits for the
 // decision that the release carries out. An engine that ignores fencing tokens
 // may have obeyed somebody else.
 func (r *Rank) readBack(o Order) {
+	if o.Run == 0 {
+		if o.Token == r.lead.epoch && r.leader.In("reading") {
+			r.leader.Fire(r.now, "read")
+		}
+		return
+	}
 	s := r.engine.state
 	if s.Armed == o.Token || s.Armed == 0 && s.Next == o.Run {
 		return
--- a/internal/decide/expertmap/leadswitch.go
+++ b/internal/decide/expertmap/leadswitch.go
@@ -26,6 +26,11 @@
 	})
 }
 
+// readStep asks the engine which step it is in.
+func (r *Rank) readStep() {
+	r.order(Order{Kind: OrderCurrent, Token: r.lead.epoch})
+}
+
 // chooseStep picks a switch step far enough ahead that the decision normally
 // arrives before the ranks reach it.
 func (r *Rank) chooseStep() {
--- a/internal/decide/expertmap/world_test.go
+++ b/internal/decide/expertmap/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/expertmap"
@@ -59,7 +60,7 @@
 
 func newWorldWith(n int, fencing bool, margin uint64) *world {
 	w := &world{n: n, fencing: fencing, now: time.Unix(1000, 0), nodes: make([]*expertmap.Rank, n), incs: make([]ident.Incarnation, n),
-		paused: make([]time.Time, n), margin: margin, engines: group.NewRanks(n, fencing), cut: make(map[[2]ident.Rank]bool)}
+		paused: make([]time.Time, n), margin: margin, engines: group.NewRanks(slices.Repeat([]bool{fencing}, n)), cut: make(map[[2]ident.Rank]bool)}
 	for r := range n {
 		w.start(ident.Rank(r))
 	}
--- a/internal/engine/group.go
+++ b/internal/engine/group.go
@@ -13,9 +13,12 @@
 	"github.com/anvilpoint/anvilpoint/internal/decide/expertmap"
 )
 
-// groupLimit bounds one call of the group interface. Loading a map answers once
-// the weights are there, so it is the longest.
-const groupLimit = 10 * time.Second
+// GroupLimit bounds a call of the group interface. It is shorter than the time
+// after which an order without an answer counts as settled.
+const GroupLimit = 2 * time.Second
+
+// loadLimit bounds the loading of a map, which answers once the weights are there.
+const loadLimit = 30 * time.Second
 
 // maxGroupBytes bounds an answer that holds a map and the work by expert.
 const maxGroupBytes = 8 << 20
@@ -88,7 +91,11 @@
 }
 
 func (e *Engine) groupCall(ctx context.Context, method, path string, body []byte, answer any) error {
-	limited, cancel := context.WithTimeout(ctx, groupLimit)
+	limit := GroupLimit
+	if path == "/v1/group/load" {
+		limit = loadLimit
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	request, err := http.NewRequestWithContext(limited, method, e.url+path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -69,6 +69,10 @@
 	leavingServer bool
 	hasEngine     bool
 
+	// groupRecords takes the records for the group task; nil without one.
+	groupRecords *task.Mailbox[*record.Snapshot]
+	groupReport  groupReport
+
 	queue   *task.Mailbox[queueMessage]
 	streams *task.Mailbox[streamMessage]
 	logger  zerolog.Logger
@@ -132,6 +136,9 @@
 		c.list(ctx, now, m.list)
 	case engineLoad:
 		c.engineLoad(ctx, now, m)
+	case groupReport:
+		c.groupReport = m
+		c.beat(ctx, now)
 	case stopProcess:
 		c.life.Fire(now, "stop")
 		c.beat(ctx, now)
@@ -180,6 +187,9 @@
 	c.snapshot = snapshot
 	c.metrics.record.Set(float64(snapshot.Digest.Revision))
 	c.events.Emit(eventlog.Event{Name: "record.adopted", Revision: snapshot.Digest.Revision})
+	if c.groupRecords != nil {
+		c.groupRecords.Send(ctx, snapshot)
+	}
 	c.becomeReady(now)
 	c.beat(ctx, now)
 }
@@ -270,6 +280,7 @@
 		Load: message.Load{
 			Running: f.running, QueuedCost: f.queued, Slots: f.slots,
 			TokensPerSecond: c.load.TokensPerSecond, AgeMS: c.loadAge(now),
+			GroupState: c.groupReport.state, StepMS: c.groupReport.stepMS,
 		},
 	}
 	for l := range c.links {
--- /dev/null
+++ b/internal/sidecar/group.go
@@ -0,0 +1,317 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/anvilpoint/anvilpoint/internal/codec"
+	"github.com/anvilpoint/anvilpoint/internal/decide/balance"
+	"github.com/anvilpoint/anvilpoint/internal/decide/expertmap"
+	"github.com/anvilpoint/anvilpoint/internal/engine"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/link"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+const (
+	groupCapacity = 1024
+	// groupTick bounds how late a timer of the protocol fires.
+	groupTick = 20 * time.Millisecond
+	// enginePollInterval is how often the engine's state is read. It bounds how
+	// late a restarted engine is noticed.
+	enginePollInterval = 250 * time.Millisecond
+	// planInterval is the time between two plans of the leader.
+	planInterval = 5 * time.Second
+	// loadWindow smooths the work by expert. It spans several plans, so that the
+	// noise of one sample moves no expert.
+	loadWindow = 3 * planInterval
+	// speedRecovery is how long a rank that was slow is still planned as slow.
+	speedRecovery = 5 * time.Minute
+)
+
+// The states of a group in load reports.
+const (
+	groupFormed  = "formed"
+	groupForming = "forming"
+)
+
+// groupMessage is a message to the group task.
+type groupMessage interface{ isGroupMessage() }
+
+type (
+	groupLink  struct{ event link.Event }
+	groupFrame struct {
+		link  *link.Link
+		frame *message.Group
+	}
+	// engineAnswer is the end of an order or of a reading of the engine's state.
+	engineAnswer struct {
+		generation int
+		order      *expertmap.Order
+		result     expertmap.Result
+		state      engine.GroupState
+		err        error
+	}
+)
+
+func (groupLink) isGroupMessage()    {}
+func (groupFrame) isGroupMessage()   {}
+func (engineAnswer) isGroupMessage() {}
+
+// groupTask owns this sidecar's part in an expert-parallel group: the decision
+// for its rank, the links to the other ranks and the plans if it leads.
+type groupTask struct {
+	mailbox *task.Mailbox[groupMessage]
+	// records holds the newest record; older ones are dropped.
+	records *task.Mailbox[*record.Snapshot]
+	server  ident.ServerID
+	codec   *codec.Codec
+	caller  *groupCaller
+	links   *groupLinks
+	control *task.Mailbox[controlMessage]
+	events  *eventlog.Log
+	logger  zerolog.Logger
+	metrics *groupMetrics
+
+	membership membership
+	rank       *expertmap.Rank
+	// generation tells answers for an earlier membership apart.
+	generation int
+	state      engine.GroupState
+	planner    planner
+	reported   groupReport
+	pollAt     time.Time
+}
+
+// membership is this rank's place in the record.
+type membership struct {
+	group   record.Group
+	rank    ident.Rank
+	checks  bool
+	domains []ident.FailureDomain
+}
+
+// groupReport is what the control task puts into load reports.
+type groupReport struct {
+	state  string
+	stepMS float64
+}
+
+func (groupReport) isControlMessage() {}
+
+// run is the task. It does nothing until a record names this server as a rank.
+func (t *groupTask) run(ctx context.Context) error {
+	defer t.mailbox.Close()
+	tick := time.NewTicker(groupTick)
+	defer tick.Stop()
+	for {
+		select {
+		case s := <-t.records.Receive():
+			t.adopt(time.Now(), s)
+		case m := <-t.mailbox.Receive():
+			t.take(ctx, time.Now(), m)
+		case now := <-tick.C:
+			t.tick(ctx, now)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// adopt starts this rank anew if the record changed the group.
+func (t *groupTask) adopt(now time.Time, s *record.Snapshot) {
+	m, ok := memberOf(s, t.server)
+	t.links.addresses(s, m.group)
+	if ok && t.rank != nil && m.equal(t.membership) {
+		return
+	}
+	t.generation++
+	t.rank, t.membership = nil, m
+	if !ok {
+		return
+	}
+	slots := balance.Slots(len(m.group.Ranks), m.group.Experts, m.group.SpareSlots)
+	t.rank = expertmap.New(now, rankConfig(now, m, balance.Initial(m.group.Layers, m.group.Experts, slots)))
+	t.planner = newPlanner(m, now)
+	t.pollAt = now
+}
+
+func memberOf(s *record.Snapshot, server ident.ServerID) (membership, bool) {
+	replica, ok := s.Replicas[server]
+	if !ok || replica.Group == "" {
+		return membership{}, false
+	}
+	m := membership{group: s.Groups[replica.Group], rank: -1, checks: replica.ChecksFencing}
+	for r, id := range m.group.Ranks {
+		m.domains = append(m.domains, s.Replicas[id].Domain)
+		if id == server {
+			m.rank = ident.Rank(r)
+		}
+	}
+	return m, m.rank >= 0
+}
+
+func (m membership) equal(other membership) bool {
+	a, b := m.group, other.group
+	if a.ID != b.ID || a.Layers != b.Layers || a.Experts != b.Experts || a.SpareSlots != b.SpareSlots ||
+		len(a.Ranks) != len(b.Ranks) || m.checks != other.checks {
+		return false
+	}
+	for i := range a.Ranks {
+		if a.Ranks[i] != b.Ranks[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// rankConfig returns the timing for a group of the size: the leader's messages
+// to many ranks are spread so that control traffic stays small.
+func rankConfig(now time.Time, m membership, initial *expertmap.Map) expertmap.Config {
+	n := time.Duration(len(m.group.Ranks))
+	c := expertmap.Config{
+		Rank: m.rank, Ranks: len(m.group.Ranks), Incarnation: ident.NewIncarnation(now), Initial: initial, ChecksFencing: m.checks,
+		Beat:  max(time.Second, n*40*time.Millisecond),
+		Retry: max(200*time.Millisecond, n*4*time.Millisecond), Patience: max(time.Second, n*10*time.Millisecond),
+		LoadPatience: 30 * time.Second, Takeover: max(3*time.Second, n*120*time.Millisecond), Margin: switchMargin,
+	}
+	if !m.checks {
+		c.Settle = settleTime
+	}
+	return c
+}
+
+// switchMargin is the number of steps between the order to arm and the switch
+// step. Three steps of 20 ms cover two round trips and the engine's answers.
+const switchMargin = 3
+
+func (t *groupTask) take(ctx context.Context, now time.Time, m groupMessage) {
+	switch m := m.(type) {
+	case groupLink:
+		t.links.event(m.event)
+	case groupFrame:
+		t.frame(ctx, now, m)
+	case engineAnswer:
+		t.answer(ctx, now, m)
+	}
+}
+
+// frame takes a message from the rank that the link's peer is.
+func (t *groupTask) frame(ctx context.Context, now time.Time, m groupFrame) {
+	if t.rank == nil || m.frame.Group != t.membership.group.ID {
+		return
+	}
+	var w expertmap.Wire
+	if err := t.codec.DecodePayload(m.frame.Payload, &w); err != nil {
+		m.link.Close("invalid group message")
+		return
+	}
+	if from, ok := t.links.rankOf(m.link.Peer().Server); !ok || from != w.From {
+		return
+	}
+	t.step(ctx, now, w)
+}
+
+func (t *groupTask) answer(ctx context.Context, now time.Time, m engineAnswer) {
+	if t.rank == nil || m.generation != t.generation {
+		return
+	}
+	if m.err == nil {
+		t.state = m.state
+	}
+	state := engineState(m.state)
+	switch {
+	case m.order != nil:
+		t.step(ctx, now, expertmap.OrderReply{ID: m.order.ID, Result: m.result, State: state})
+	case m.err != nil:
+		t.logger.Debug().Err(m.err).Msg("engine group state")
+	default:
+		t.planner.observe(now, m.state)
+		t.step(ctx, now, state)
+	}
+}
+
+func engineState(s engine.GroupState) expertmap.EngineState {
+	e := expertmap.EngineState{Boot: s.Boot, Current: s.Current, Next: s.Next, Entered: s.Entered, Armed: s.Armed, Held: s.Held,
+		Fence: s.Fence, ComputeMicros: s.ComputeMicros}
+	if s.Map != nil {
+		e.Map = &expertmap.Map{Layers: s.Map}
+	}
+	return e
+}
+
+func (t *groupTask) tick(ctx context.Context, now time.Time) {
+	t.links.closeIdle(now)
+	if t.rank == nil {
+		t.report(ctx, groupReport{})
+		return
+	}
+	if !now.Before(t.pollAt) {
+		t.pollAt = now.Add(enginePollInterval)
+		t.caller.poll(t.generation, t.needsDetail(now))
+	}
+	if at, ok := t.rank.Deadline(); ok && !now.Before(at) {
+		t.step(ctx, now, expertmap.Tick{})
+	}
+	if t.rank.Leads() {
+		t.plan(ctx, now)
+	}
+	t.report(ctx, t.currentReport())
+}
+
+// needsDetail asks for the map of an engine that this rank knows nothing of yet,
+// and for the work by expert where this rank plans.
+func (t *groupTask) needsDetail(now time.Time) bool {
+	_, content := t.rank.Map()
+	return content == nil || t.rank.Leads() && t.planner.due(now)
+}
+
+func (t *groupTask) currentReport() groupReport {
+	r := groupReport{state: groupForming, stepMS: t.state.StepMicros / 1e3}
+	if t.rank.Formed() {
+		r.state = groupFormed
+	}
+	return r
+}
+
+// reportedChange is the change of the step time, as a share, that is reported.
+const reportedChange = 0.05
+
+func (t *groupTask) report(ctx context.Context, r groupReport) {
+	t.metrics.show(r, t.rank, t.state)
+	change := r.stepMS - t.reported.stepMS
+	if r.state == t.reported.state && max(change, -change) <= reportedChange*t.reported.stepMS {
+		return
+	}
+	t.reported = r
+	t.control.Send(ctx, r)
+}
+
+func (t *groupTask) step(ctx context.Context, now time.Time, m expertmap.Message) {
+	for _, a := range t.rank.Step(now, m) {
+		switch a := a.(type) {
+		case expertmap.Send:
+			t.send(now, a)
+		case expertmap.Instruct:
+			t.caller.order(ctx, t.generation, t.membership.checks, a.Order)
+		case expertmap.Notice:
+			t.metrics.notices.WithLabelValues(string(a.Name)).Inc()
+			t.events.Emit(eventlog.Event{Name: string(a.Name), Group: t.membership.group.ID, Server: t.server, Detail: epochText(a.Epoch)})
+		}
+	}
+}
+
+func (t *groupTask) send(now time.Time, a expertmap.Send) {
+	payload, err := t.codec.EncodePayload(a.Wire)
+	if err != nil {
+		t.logger.Error().Err(err).Msg("group message")
+		return
+	}
+	t.metrics.sent.Add(float64(len(payload)))
+	t.links.send(now, a.To, &message.Group{Group: t.membership.group.ID, From: a.Wire.From, To: a.To, Payload: payload})
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -59,7 +59,9 @@
 	streams *streams
 	control *control
 	engine  *engine.Engine
-	start   ident.Incarnation
+	// expertGroup is nil beside a plain service.
+	expertGroup *groupTask
+	start       ident.Incarnation
 }
 
 // Run runs a sidecar until the context ends, drains it, and returns.
@@ -122,6 +124,7 @@
 	c.logger, c.events, c.metrics, c.ready = p.options.Logger, p.options.Events, p.metrics, p.options.Ready
 	c.hasEngine = p.engine != nil
 	p.control = c
+	p.assembleGroup()
 	return nil
 }
 
@@ -168,6 +171,7 @@
 	if e.Kind == link.Down {
 		p.streams.mailbox.Send(ctx, linkDown{link: e.Link})
 	}
+	p.deliverGroup(ctx, e)
 	for _, m := range e.Messages {
 		switch m := m.(type) {
 		case *message.Offer, *message.Withdraw, *message.Cancel:
@@ -194,6 +198,7 @@
 	p.group.Go("operations listener", func(ctx context.Context) error {
 		return operations.Serve(ctx, ops, operations.Handler(p.metrics.registry, p.readiness))
 	})
+	p.serveGroup(tlsConfig)
 	p.watchPlatform()
 	return nil
 }
--- a/internal/standin/group/engine.go
+++ b/internal/standin/group/engine.go
@@ -20,10 +20,11 @@
 
 // Ranks is a group of engine ranks. One task owns it.
 type Ranks struct {
-	checksFencing bool
-	ranks         []rank
-	boots         uint64
-	completed     uint64
+	// checks says which ranks refuse orders with an old token.
+	checks    []bool
+	ranks     []rank
+	boots     uint64
+	completed uint64
 	// open holds, for each step that is not complete, the ranks that entered it.
 	open map[uint64][]entry
 	two  []Two
@@ -53,10 +54,10 @@
 	stalled  bool
 }
 
-// NewRanks returns ranks that hold until they are told which map to use.
-// checksFencing says whether they refuse orders with an old token.
-func NewRanks(count int, checksFencing bool) *Ranks {
-	g := &Ranks{checksFencing: checksFencing, ranks: make([]rank, count), open: make(map[uint64][]entry)}
+// NewRanks returns ranks that hold until they are told which map to use. checks
+// says, for each rank, whether it refuses orders with an old token.
+func NewRanks(checks []bool) *Ranks {
+	g := &Ranks{checks: checks, ranks: make([]rank, len(checks)), open: make(map[uint64][]entry)}
 	for i := range g.ranks {
 		g.Crash(ident.Rank(i))
 	}
@@ -99,7 +100,7 @@
 	if o.Kind == expertmap.OrderCurrent {
 		return expertmap.ResultDone
 	}
-	if g.checksFencing && o.Token < k.fence {
+	if g.checks[r] && o.Token < k.fence {
 		return expertmap.ResultFenced
 	}
 	k.fence = max(k.fence, o.Token)
--- a/internal/standin/group/group.go
+++ b/internal/standin/group/group.go
@@ -16,12 +16,12 @@
 
 // Config describes a group of engines.
 type Config struct {
-	ID      ident.GroupID
-	Ranks   int
-	Layers  int
-	Experts int
-	// ChecksFencing makes the engines refuse orders with an old token.
-	ChecksFencing bool
+	ID ident.GroupID
+	// ChecksFencing says, for each rank, whether its engine refuses orders with an
+	// old token. Its length is the number of ranks.
+	ChecksFencing []bool
+	Layers        int
+	Experts       int
 	// Step is the time of a step with a perfect map.
 	Step time.Duration
 	// LoadTime is how long the weights of a map take to load.
@@ -39,7 +39,7 @@
 // Defaults returns the configuration of the dev command's group, whose
 // popularity drifts within minutes so that an operator can watch it.
 func Defaults() Config {
-	return Config{Step: 20 * time.Millisecond, LoadTime: 200 * time.Millisecond, Tokens: 4096, Exponent: 0.7, Spread: 0.7, Wander: 5 * time.Minute, Seed: 1, ChecksFencing: true}
+	return Config{Step: 20 * time.Millisecond, LoadTime: 200 * time.Millisecond, Tokens: 4096, Exponent: 0.7, Spread: 0.7, Wander: 5 * time.Minute, Seed: 1}
 }
 
 // mailboxCapacity bounds the calls that wait for the group's task.
@@ -68,9 +68,9 @@
 // New returns a group whose engines have just started. Run must follow.
 func New(c Config) *Group {
 	g := &Group{config: c, mailbox: task.NewMailbox[request](mailboxCapacity, task.Block),
-		ranks:      NewRanks(c.Ranks, c.ChecksFencing),
+		ranks:      NewRanks(c.ChecksFencing),
 		popularity: NewPopularity(rand.New(rand.NewPCG(c.Seed, 5)), c.Layers, c.Experts, c.Exponent, c.Spread, c.Wander),
-		speeds:     make([]float64, c.Ranks), busy: make([]float64, c.Ranks)}
+		speeds:     make([]float64, len(c.ChecksFencing)), busy: make([]float64, len(c.ChecksFencing))}
 	for r := range g.speeds {
 		g.speeds[r] = 1
 	}
--- a/internal/standin/group/group_test.go
+++ b/internal/standin/group/group_test.go
@@ -18,7 +18,7 @@
 func TestTwoMapsAreRecorded(t *testing.T) {
 	a := balance.Initial(1, 4, []int{2, 2})
 	b, _ := a.Apply([]expertmap.Change{{Rank: 0, Slot: 0, Expert: 1}, {Rank: 1, Slot: 0, Expert: 0}})
-	g := group.NewRanks(2, true)
+	g := group.NewRanks([]bool{true, true})
 	for r, m := range []*expertmap.Map{a, b} {
 		token := expertmap.Epoch(10 + r)
 		for _, o := range []expertmap.Order{
@@ -39,7 +39,7 @@
 // Guards against an HTTP interface that differs from the orders behind it.
 func TestInterface(t *testing.T) {
 	c := group.Defaults()
-	c.Ranks, c.Layers, c.Experts, c.LoadTime = 1, 1, 4, 0
+	c.ChecksFencing, c.Layers, c.Experts, c.LoadTime = []bool{true}, 1, 4, 0
 	g := group.New(c)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
--- a/internal/standin/group/http.go
+++ b/internal/standin/group/http.go
@@ -104,7 +104,7 @@
 		return "the map has another number of layers"
 	}
 	for _, layer := range layers {
-		if len(layer) != g.config.Ranks {
+		if len(layer) != len(g.config.ChecksFencing) {
 			return "the map has another number of ranks"
 		}
 		held := make([]bool, g.config.Experts)
