--- a/internal/standin/dev/dev_test.go
+++ b/internal/standin/dev/dev_test.go
@@ -223,7 +223,9 @@
 // without its faults, or changed other than by revision and addresses.
 func TestPublish(t *testing.T) {
 	c := start(t, func(*dev.Options) {})
-	put := func(body, query string) (int, string) { return call(t, http.MethodPut, c.Admin()+"/record"+query, body) }
+	put := func(body, query string) (int, string) {
+		return call(t, http.MethodPut, c.Admin()+"/record"+query, body)
+	}
 	record, err := dev.DemoRecord(func() dev.Options {
 		o := dev.Defaults()
 		o.Entries, o.Replicas, o.Services, o.Domains = 2, 2, 1, dev.DomainNames(2)
