--- /dev/null
+++ b/internal/pathtest/interface_test.go
@@ -0,0 +1,112 @@
+package pathtest_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/pathtest"
+)
+
+func serviceBackend(name string, s *pathtest.PlainService) pathtest.Backend {
+	return pathtest.Backend{Server: ident.ServerID(name), Kind: "service", URL: s.URL}
+}
+
+// Guards against status codes and outcomes that differ from the documented ones.
+func TestRefusedRequests(t *testing.T) {
+	engine := pathtest.NewEngine(pathtest.Behavior{Tokens: 3})
+	defer engine.Close()
+	service := pathtest.NewService("")
+	defer service.Close()
+	f := newFixture(t, engineBackend("e0", engine), serviceBackend("s0", service))
+	f.start(1)
+	const completions = "/v1/chat/completions"
+	whole := pathtest.Completion(true)
+	for _, c := range []struct {
+		name, method, path, key string
+		body                    []byte
+		headers                 []string
+		want                    problem
+	}{
+		{"no such key", "POST", completions, "wrong", whole, nil, problem{401, "not-run", "unauthenticated"}},
+		{"not JSON", "POST", completions, pathtest.Key, []byte("{"), nil, problem{400, "not-run", "malformed"}},
+		{"no messages", "POST", completions, pathtest.Key, []byte(`{"model":"m"}`), nil, problem{400, "not-run", "malformed"}},
+		{"unknown model", "POST", completions, pathtest.Key, []byte(`{"model":"x","messages":[]}`), nil, problem{404, "not-run", "not-found"}},
+		{"other's model", "POST", completions, pathtest.Key, []byte(`{"model":"other","messages":[]}`), nil, problem{403, "not-run", "forbidden"}},
+		{"class of others", "POST", completions, pathtest.Key, whole, []string{"Anvilpoint-Priority-Class", "analytical"}, problem{403, "not-run", "forbidden"}},
+		{"no such class", "POST", completions, pathtest.Key, whole, []string{"Anvilpoint-Priority-Class", "gold"}, problem{400, "not-run", "malformed"}},
+		{"too large", "POST", completions, pathtest.Key, []byte(strings.Repeat(" ", 1<<20+1)), nil, problem{413, "not-run", "too-large"}},
+		{"unknown service", "GET", "/v1/services/x/a", pathtest.Key, nil, nil, problem{404, "not-run", "not-found"}},
+		{"no idempotency key", "POST", "/v1/services/logbook/a", pathtest.Key, nil, nil, problem{400, "not-run", "malformed"}},
+		{"no such stream", "GET", "/v1/streams/r-1.e0", pathtest.Key, nil, nil, problem{404, "not-run", "stream-gone"}},
+		{"bad position", "GET", "/v1/streams/r-1.e0", pathtest.Key, nil, []string{"Last-Event-ID", "x"}, problem{400, "not-run", "malformed"}},
+		{"unknown path", "GET", "/v2", pathtest.Key, nil, nil, problem{404, "not-run", "not-found"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			must.Eq(t, c.want, readProblem(t, f.do(0, c.method, c.path, c.key, c.body, c.headers...)))
+		})
+	}
+	must.Eq(t, 0, len(engine.Calls))
+	must.Eq(t, 0, len(service.Calls))
+}
+
+// Guards against a service's answer that loses its status, type or body.
+func TestServiceCall(t *testing.T) {
+	service := pathtest.NewService("")
+	defer service.Close()
+	f := newFixture(t, serviceBackend("s0", service))
+	f.start(1)
+	large := strings.Repeat("0123456789", 60_000)
+	for _, body := range []string{"", "one load of citrus peel", large} {
+		r := f.do(0, http.MethodPost, "/v1/services/logbook/loads?day=3", pathtest.Key, []byte(body), "Idempotency-Key", "k1")
+		must.Eq(t, http.StatusCreated, r.StatusCode)
+		must.Eq(t, "text/x-test", r.Header.Get("Content-Type"))
+		must.Eq(t, "completed", r.Header.Get("Anvilpoint-Outcome"))
+		got, err := io.ReadAll(r.Body)
+		must.NoError(t, err)
+		must.Eq(t, body, string(got))
+		must.Eq(t, pathtest.ServiceCall{Method: "POST", Path: "/loads?day=3", Key: "k1", Body: body}, <-service.Calls)
+	}
+}
+
+// Guards against a call that is repeated although it may have run: net/http
+// repeats requests with an idempotency key when a connection breaks.
+func TestServiceBreaksOffAfterTheCall(t *testing.T) {
+	service := pathtest.NewService("/loads")
+	defer service.Close()
+	f := newFixture(t, serviceBackend("s0", service))
+	f.start(1)
+	for _, body := range []string{"", "load"} {
+		r := f.do(0, http.MethodPost, "/v1/services/logbook/warm", pathtest.Key, nil, "Idempotency-Key", "warm")
+		must.Eq(t, http.StatusCreated, r.StatusCode)
+		<-service.Calls
+		r = f.do(0, http.MethodPost, "/v1/services/logbook/loads", pathtest.Key, []byte(body), "Idempotency-Key", "k-"+body)
+		must.Eq(t, problem{http.StatusBadGateway, "unknown", "backend-server-failed"}, readProblem(t, r))
+		<-service.Calls
+		must.Eq(t, 0, len(service.Calls))
+	}
+}
+
+// Guards against operators' endpoints that are missing.
+func TestOperationsAndModels(t *testing.T) {
+	engine := pathtest.NewEngine(pathtest.Behavior{Tokens: 3})
+	defer engine.Close()
+	f := newFixture(t, engineBackend("e0", engine))
+	f.start(1)
+	for _, p := range []*pathtest.Process{f.entries[0], f.sidecars[0]} {
+		for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
+			r, err := http.Get("http://" + p.Operations + path)
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, r.StatusCode)
+			must.NoError(t, r.Body.Close())
+		}
+	}
+	r := f.do(0, http.MethodGet, "/v1/models", pathtest.Key, nil)
+	body, err := io.ReadAll(r.Body)
+	must.NoError(t, err)
+	must.Eq(t, `{"object":"list","data":[{"id":"m","object":"model","owned_by":"anvilpoint"}]}`+"\n", string(body))
+}
--- a/internal/pathtest/path_test.go
+++ b/internal/pathtest/path_test.go
@@ -28,10 +28,16 @@
 
 func newFixture(t *testing.T, backends ...pathtest.Backend) *fixture {
 	t.Helper()
+	return newFixtureOf(t, pathtest.Config{Backends: backends})
+}
+
+func newFixtureOf(t *testing.T, c pathtest.Config) *fixture {
+	t.Helper()
+	c.Logger = zerolog.Nop()
 	ctx, cancel := context.WithCancel(t.Context())
-	world, addresses, err := pathtest.NewWorld(ctx, backends, zerolog.New(zerolog.NewTestWriter(t)))
+	world, addresses, err := pathtest.NewWorld(ctx, c)
 	must.NoError(t, err)
-	f := &fixture{T: t, ctx: ctx, world: world, backends: backends, addresses: addresses}
+	f := &fixture{T: t, ctx: ctx, world: world, backends: c.Backends, addresses: addresses}
 	t.Cleanup(func() { cancel(); world.Close() })
 	return f
 }
--- a/internal/pathtest/world.go
+++ b/internal/pathtest/world.go
@@ -73,15 +73,27 @@
 	logger  zerolog.Logger
 }
 
+// Config describes a world.
+type Config struct {
+	Backends []Backend
+	// Deadline is the deadline of the classes; zero is 10 s.
+	Deadline time.Duration
+	Logger   zerolog.Logger
+}
+
 // NewWorld starts the configuration service and the instance list. The record
 // names the backends, each with a sidecar address of its own, which is returned
 // in the same order.
-func NewWorld(ctx context.Context, backends []Backend, logger zerolog.Logger) (*World, []string, error) {
+func NewWorld(ctx context.Context, c Config) (*World, []string, error) {
+	backends := c.Backends
+	if c.Deadline == 0 {
+		c.Deadline = 10 * time.Second
+	}
 	addresses, err := freeAddresses(len(backends))
 	if err != nil {
 		return nil, nil, err
 	}
-	value, err := recordValue(backends, addresses)
+	value, err := recordValue(c, addresses)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -100,7 +112,7 @@
 	})
 	mux.HandleFunc("/v1/instances", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("[]")) })
 	return &World{
-		ctx: ctx, platform: httptest.NewServer(mux), Grace: 5 * time.Second, Network: network.System{}, logger: logger,
+		ctx: ctx, platform: httptest.NewServer(mux), Grace: 5 * time.Second, Network: network.System{}, logger: c.Logger,
 	}, addresses, nil
 }
 
@@ -118,11 +130,11 @@
 	return addresses, nil
 }
 
-func recordValue(backends []Backend, addresses []string) ([]byte, error) {
+func recordValue(c Config, addresses []string) ([]byte, error) {
 	s := &record.Snapshot{
 		Accounts: map[ident.ClientAccount]record.Account{"a": account("a", Key), "b": account("b", OtherKey)},
 		Classes: map[ident.PriorityClass]record.Class{
-			ident.Interactive: class(ident.Interactive, 0.5), ident.Analytical: class(ident.Analytical, 0.2), ident.Batch: class(ident.Batch, 0.1),
+			ident.Interactive: class(ident.Interactive, 0.5, c.Deadline), ident.Analytical: class(ident.Analytical, 0.2, c.Deadline), ident.Batch: class(ident.Batch, 0.1, c.Deadline),
 		},
 		BookingShare: 0.1,
 		Models:       map[ident.ModelName]record.Model{Model: {Name: Model, Version: "v1", Bytes: 1}, "other": {Name: "other", Version: "v1", Bytes: 1}},
@@ -130,7 +142,7 @@
 		Groups: map[ident.GroupID]record.Group{}, WeightStoreRate: 1 << 30,
 	}
 	logbook := record.Service{Name: Service, OpaqueKeyWindow: 24 * time.Hour, Repeatable: []record.CallPattern{{Method: "GET", Prefix: "/"}}}
-	for n, b := range backends {
+	for n, b := range c.Backends {
 		if b.Kind == "service" {
 			logbook.Replicas = append(logbook.Replicas, record.ServiceReplica{ID: b.Server, Address: addresses[n], Domain: "d"})
 			continue
@@ -160,9 +172,9 @@
 	}
 }
 
-func class(name ident.PriorityClass, share float64) record.Class {
+func class(name ident.PriorityClass, share float64, deadline time.Duration) record.Class {
 	return record.Class{
-		Name: name, FirstTokenTarget: time.Second, TokenTarget: time.Second, Deadline: 10 * time.Second, Worth: 1, Share: share,
+		Name: name, FirstTokenTarget: min(time.Second, deadline), TokenTarget: time.Second, Deadline: deadline, Worth: 1, Share: share,
 	}
 }
 
