--- a/internal/pathtest/world.go
+++ b/internal/pathtest/world.go
@@ -46,6 +46,11 @@
 	URL  string
 }
 
+// Settings returns the part of a sidecar's settings that names the backend.
+func (b Backend) Settings() *settings.Backend {
+	return &settings.Backend{Server: b.Server, Kind: b.Kind, URL: b.URL}
+}
+
 // Process is a running entry or sidecar.
 type Process struct {
 	// Address is where callers reach an entry, or entries reach a sidecar.
@@ -184,7 +189,9 @@
 	w.platform.Close()
 }
 
-func (w *World) settings(role message.Role, name, links string) (*settings.Settings, error) {
+// Settings returns the settings of a process with free addresses of its own. A
+// sidecar's link address is given.
+func (w *World) Settings(role message.Role, name, links string) (*settings.Settings, error) {
 	addresses, err := freeAddresses(3)
 	if err != nil {
 		return nil, err
@@ -202,7 +209,7 @@
 
 // StartEntry starts an entry and waits until it is ready.
 func (w *World) StartEntry(name string) (*Process, error) {
-	s, err := w.settings(message.RoleEntry, name, "")
+	s, err := w.Settings(message.RoleEntry, name, "")
 	if err != nil {
 		return nil, err
 	}
@@ -213,11 +220,11 @@
 
 // StartSidecar starts the sidecar of a backend and waits until it is ready.
 func (w *World) StartSidecar(b Backend, address string) (*Process, error) {
-	s, err := w.settings(message.RoleSidecar, string(b.Server), address)
+	s, err := w.Settings(message.RoleSidecar, string(b.Server), address)
 	if err != nil {
 		return nil, err
 	}
-	s.Backend = &settings.Backend{Server: b.Server, Kind: b.Kind, URL: b.URL}
+	s.Backend = b.Settings()
 	return w.start(s, address, func(ctx context.Context, ready func(), kill <-chan struct{}) error {
 		return sidecar.Run(ctx, sidecar.Options{Settings: s, Logger: w.logger, Events: w.events(), Network: w.Network, Ready: ready, Kill: kill})
 	})
