--- a/internal/load/relaybench/main.go
+++ b/internal/load/relaybench/main.go
@@ -19,8 +19,9 @@
 // options are the flags of the program.
 type options struct {
 	Binary  string        `long:"binary" required:"true" description:"the anvilpoint binary to measure"`
-	Streams int           `long:"streams" default:"600" description:"streams at once in the relay measurement"`
+	Streams int           `long:"streams" default:"1080" description:"streams at once in the relay measurement"`
 	Pause   time.Duration `long:"pause" default:"40ms" description:"time between two tokens of a stream"`
+	Free    bool          `long:"free-running" description:"let each stream keep its own time instead of emitting in steps"`
 	Seconds int           `long:"seconds" default:"5" description:"length of the relay measurement"`
 	Firsts  int           `long:"firsts" default:"400" description:"pairs of requests in the first-token measurement"`
 	Settle  time.Duration `long:"settle" default:"2s" description:"time between the start of the streams and the measurement"`
@@ -44,7 +45,7 @@
 	quick := pathtest.NewEngine(pathtest.Behavior{Tokens: 20, Slots: 4096})
 	defer quick.Close()
 	paced := pathtest.NewEngine(pathtest.Behavior{
-		Tokens: int((time.Duration(o.Seconds)*time.Second + 2*o.Settle) / o.Pause * 2), Pause: o.Pause, Slots: 4096,
+		Tokens: int((time.Duration(o.Seconds)*time.Second + 2*o.Settle) / o.Pause * 2), Pause: o.Pause, Step: !o.Free, Slots: 4096,
 	})
 	defer paced.Close()
 	if err := withPath(ctx, o, quick, func(p *path) error { return firstTokens(ctx, o, p) }); err != nil {
--- a/internal/pathtest/engine.go
+++ b/internal/pathtest/engine.go
@@ -34,6 +34,9 @@
 	Tokens int
 	// Pause is the time between tokens.
 	Pause time.Duration
+	// Step makes all calls emit their tokens at the same times, as an engine that
+	// batches continuously does. Otherwise each call keeps its own time.
+	Step bool
 	// DieAfter breaks the connection of every call after that many tokens of the
 	// call. Zero means never.
 	DieAfter int
@@ -118,7 +121,7 @@
 	if b.Pause == 0 {
 		return r.Context().Err() == nil
 	}
-	timer := time.NewTimer(b.Pause)
+	timer := time.NewTimer(b.untilNext(time.Now()))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -128,6 +131,14 @@
 	}
 }
 
+// untilNext returns the time until the next token.
+func (b Behavior) untilNext(now time.Time) time.Duration {
+	if !b.Step {
+		return b.Pause
+	}
+	return b.Pause - time.Duration(now.UnixNano())%b.Pause
+}
+
 // Event returns the data of token n out of the given number.
 func Event(n, tokens int, padding string) string {
 	finish := "null"
