--- a/internal/pathtest/world.go
+++ b/internal/pathtest/world.go
@@ -46,6 +46,11 @@
 	URL  string
 }
 
+// Settings returns the part of a sidecar's settings that names the backend.
+func (b Backend) Settings() *settings.Backend {
+	return &settings.Backend{Server: b.Server, Kind: b.Kind, URL: b.URL}
+}
+
 // Process is a running entry or sidecar.
 type Process struct {
 	// Address is where callers reach an entry, or entries reach a sidecar.
@@ -73,15 +78,27 @@
 	logger  zerolog.Logger
 }
 
+// Config describes a world.
+type Config struct {
+	Backends []Backend
+	// Deadline is the deadline of the classes; zero is 10 s.
+	Deadline time.Duration
+	Logger   zerolog.Logger
+}
+
 // NewWorld starts the configuration service and the instance list. The record
 // names the backends, each with a sidecar address of its own, which is returned
 // in the same order.
-func NewWorld(ctx context.Context, backends []Backend, logger zerolog.Logger) (*World, []string, error) {
+func NewWorld(ctx context.Context, c Config) (*World, []string, error) {
+	backends := c.Backends
+	if c.Deadline == 0 {
+		c.Deadline = 10 * time.Second
+	}
 	addresses, err := freeAddresses(len(backends))
 	if err != nil {
 		return nil, nil, err
 	}
-	value, err := recordValue(backends, addresses)
+	value, err := recordValue(c, addresses)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -100,7 +117,7 @@
 	})
 	mux.HandleFunc("/v1/instances", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("[]")) })
 	return &World{
-		ctx: ctx, platform: httptest.NewServer(mux), Grace: 5 * time.Second, Network: network.System{}, logger: logger,
+		ctx: ctx, platform: httptest.NewServer(mux), Grace: 5 * time.Second, Network: network.System{}, logger: c.Logger,
 	}, addresses, nil
 }
 
@@ -118,11 +135,11 @@
 	return addresses, nil
 }
 
-func recordValue(backends []Backend, addresses []string) ([]byte, error) {
+func recordValue(c Config, addresses []string) ([]byte, error) {
 	s := &record.Snapshot{
 		Accounts: map[ident.ClientAccount]record.Account{"a": account("a", Key), "b": account("b", OtherKey)},
 		Classes: map[ident.PriorityClass]record.Class{
-			ident.Interactive: class(ident.Interactive, 0.5), ident.Analytical: class(ident.Analytical, 0.2), ident.Batch: class(ident.Batch, 0.1),
+			ident.Interactive: class(ident.Interactive, 0.5, c.Deadline), ident.Analytical: class(ident.Analytical, 0.2, c.Deadline), ident.Batch: class(ident.Batch, 0.1, c.Deadline),
 		},
 		BookingShare: 0.1,
 		Models:       map[ident.ModelName]record.Model{Model: {Name: Model, Version: "v1", Bytes: 1}, "other": {Name: "other", Version: "v1", Bytes: 1}},
@@ -130,7 +147,7 @@
 		Groups: map[ident.GroupID]record.Group{}, WeightStoreRate: 1 << 30,
 	}
 	logbook := record.Service{Name: Service, OpaqueKeyWindow: 24 * time.Hour, Repeatable: []record.CallPattern{{Method: "GET", Prefix: "/"}}}
-	for n, b := range backends {
+	for n, b := range c.Backends {
 		if b.Kind == "service" {
 			logbook.Replicas = append(logbook.Replicas, record.ServiceReplica{ID: b.Server, Address: addresses[n], Domain: "d"})
 			continue
@@ -160,9 +177,9 @@
 	}
 }
 
-func class(name ident.PriorityClass, share float64) record.Class {
+func class(name ident.PriorityClass, share float64, deadline time.Duration) record.Class {
 	return record.Class{
-		Name: name, FirstTokenTarget: time.Second, TokenTarget: time.Second, Deadline: 10 * time.Second, Worth: 1, Share: share,
+		Name: name, FirstTokenTarget: min(time.Second, deadline), TokenTarget: time.Second, Deadline: deadline, Worth: 1, Share: share,
 	}
 }
 
@@ -172,7 +189,9 @@
 	w.platform.Close()
 }
 
-func (w *World) settings(role message.Role, name, links string) (*settings.Settings, error) {
+// Settings returns the settings of a process with free addresses of its own. A
+// sidecar's link address is given.
+func (w *World) Settings(role message.Role, name, links string) (*settings.Settings, error) {
 	addresses, err := freeAddresses(3)
 	if err != nil {
 		return nil, err
@@ -190,7 +209,7 @@
 
 // StartEntry starts an entry and waits until it is ready.
 func (w *World) StartEntry(name string) (*Process, error) {
-	s, err := w.settings(message.RoleEntry, name, "")
+	s, err := w.Settings(message.RoleEntry, name, "")
 	if err != nil {
 		return nil, err
 	}
@@ -201,11 +220,11 @@
 
 // StartSidecar starts the sidecar of a backend and waits until it is ready.
 func (w *World) StartSidecar(b Backend, address string) (*Process, error) {
-	s, err := w.settings(message.RoleSidecar, string(b.Server), address)
+	s, err := w.Settings(message.RoleSidecar, string(b.Server), address)
 	if err != nil {
 		return nil, err
 	}
-	s.Backend = &settings.Backend{Server: b.Server, Kind: b.Kind, URL: b.URL}
+	s.Backend = b.Settings()
 	return w.start(s, address, func(ctx context.Context, ready func(), kill <-chan struct{}) error {
 		return sidecar.Run(ctx, sidecar.Options{Settings: s, Logger: w.logger, Events: w.events(), Network: w.Network, Ready: ready, Kill: kill})
 	})
