--- a/internal/message/kinds.go
+++ b/internal/message/kinds.go
@@ -27,6 +27,7 @@
 func (*Members) kind() Kind      { return KindMembers }
 func (*Usage) kind() Kind        { return KindUsage }
 func (*Group) kind() Kind        { return KindGroup }
+func (*Release) kind() Kind      { return KindRelease }
 
 // KindOf returns the frame type of a message.
 func KindOf(m Message) Kind { return m.kind() }
@@ -88,6 +89,8 @@
 		return new(Usage)
 	case KindGroup:
 		return new(Group)
+	case KindRelease:
+		return new(Release)
 	default:
 		return nil
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -64,6 +64,7 @@
 	KindMembers
 	KindUsage
 	KindGroup
+	KindRelease
 )
 
 // Digest names one accepted record: the revision and the hash of its content.
@@ -300,6 +301,8 @@
 	Status   int
 	Header   [][2]string
 	Body     []byte
+	// Nonce names the commit that this answers. It is zero for an answer to Book.
+	Nonce uint64
 }
 
 // Seal asks an earlier home to refuse the key for good, or to give its result.
@@ -308,6 +311,11 @@
 	Key    KeyID
 	NewTo  ident.ServerID
 	Record Digest
+	// Address is the link address of NewTo: two processes may have had the same
+	// server id at different addresses.
+	Address string
+	// Ask is echoed by the answer, so that an old answer is not taken for a new one.
+	Ask uint64
 }
 
 // SealState is what an earlier home knows about a key.
@@ -318,6 +326,11 @@
 	SealSealed  SealState = "sealed"
 	SealRan     SealState = "ran"
 	SealUnknown SealState = "unknown"
+	// SealForgotten means that the key is refused from now on, but that an earlier
+	// incarnation of the process may have run it.
+	SealForgotten SealState = "forgotten"
+	// SealStale means that the asked process knows a newer record than the asking one.
+	SealStale SealState = "stale"
 )
 
 // Sealed answers Seal.
@@ -328,15 +341,49 @@
 	Incarnation ident.Incarnation
 	Result      BookResult
 	Fingerprint uint64
+	// Server and Address name the answering process.
+	Server  ident.ServerID
+	Address string
+	Ask     uint64
+	// Ceded are link addresses of processes that had the key sealed for them
+	// earlier. They must be asked as well.
+	Ceded []string
+}
+
+// Release asks another sidecar of a service to confirm that it has given up the
+// keys that the sender's replicas move to the sender.
+type Release struct {
+	_       struct{} `cbor:",toarray"`
+	Service ident.ServiceName
+	Server  ident.ServerID
+	Address string
+	Record  Digest
+	// Replicas is a hash of the replicas of the service in the sender's record.
+	Replicas uint64
+	// Ask is echoed by Released.
+	Ask         uint64
+	Incarnation ident.Incarnation
 }
 
-// Released says that the sender has given up the keys that the record moved away.
+// Released answers Release.
 type Released struct {
 	_           struct{} `cbor:",toarray"`
 	Service     ident.ServiceName
 	Server      ident.ServerID
 	Incarnation ident.Incarnation
 	Record      Digest
+	Address     string
+	Ask         uint64
+	// Granted is false if the sender's record has other replicas.
+	Granted bool
+	// FloorMS is the creation time, in milliseconds since 1970, from which on the
+	// sender knows every key that it ran.
+	FloorMS int64
+	// Clean says that the sender holds no key of the asking process.
+	Clean bool
+	// Known are link addresses of processes of the service that the sender has
+	// heard of.
+	Known []string
 }
 
 // RecordDigest announces the record in force at the sender.
