standin/dev: run the groups of the record and show their steps

Change: the dev command runs a lock-step group for each group of the first record; engines serve their rank, a crash of an engine empties its rank, a slow engine slows its rank, and GET /truth/steps returns the steps of each group.

--- a/internal/standin/dev/admin.go
+++ b/internal/standin/dev/admin.go
@@ -101,12 +101,6 @@
 	}
 }
 
-// getSteps lists the steps of each group, one JSON line per group.
-func (c *Cluster) getSteps(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	w.WriteHeader(http.StatusOK)
-}
-
 // getEngines lists the state of each running engine, one JSON line per engine.
 func (c *Cluster) getEngines(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	engines, ok := task.Ask(r.Context(), c.mailbox, func(reply chan<- []*engine.Engine) request { return &askEngines{reply: reply} })
--- a/internal/standin/dev/cluster.go
+++ b/internal/standin/dev/cluster.go
@@ -11,10 +11,12 @@
 	"github.com/anvilpoint/anvilpoint/chart"
 	"github.com/anvilpoint/anvilpoint/internal/charts"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/network"
 	"github.com/anvilpoint/anvilpoint/internal/standin"
 	"github.com/anvilpoint/anvilpoint/internal/standin/config"
 	"github.com/anvilpoint/anvilpoint/internal/standin/faulty"
+	"github.com/anvilpoint/anvilpoint/internal/standin/group"
 	"github.com/anvilpoint/anvilpoint/internal/standin/instances"
 	"github.com/anvilpoint/anvilpoint/internal/standin/service"
 	"github.com/anvilpoint/anvilpoint/internal/standin/weights"
@@ -51,6 +53,9 @@
 	list      *instances.List
 	weights   *weights.Store
 	ledger    *service.Ledger
+	// groups are the expert-parallel groups, and members their ranks by server.
+	groups  []*group.Group
+	members map[ident.ServerID]member
 
 	all       []*process
 	byName    map[string]*process
@@ -84,6 +89,7 @@
 	if o.Events != nil {
 		c.events = eventlog.NewWriter(o.Events)
 	}
+	c.addGroups()
 	c.addProcesses()
 	c.list = instances.New(o.InstanceLag, c.listed())
 	return c, c.bind()
@@ -178,6 +184,7 @@
 	g.Go("instance list", c.list.Run)
 	g.Go("weight store", c.weights.Run)
 	g.Go("ledger", c.ledger.Run)
+	c.startGroups(g)
 	if c.events != nil {
 		g.Go("events", c.events.Run)
 	}
--- a/internal/standin/dev/programs.go
+++ b/internal/standin/dev/programs.go
@@ -98,8 +98,10 @@
 		o.Models = []engine.Model{{Name: DemoModel, Version: "v1"}}
 		o.ChecksFencing = checksFencing(s.number)
 		o.WeightStore = "http://" + c.layout.weights
+		o.Group = c.groupHandler(s.id)
 		e := engine.New(o)
-		return c.runBackend(ctx, l, p, e, func(g *task.Group) error {
+		defer c.joinGroup(s.id)()
+		return c.runBackend(ctx, l, p, groupedEngine{Engine: e, member: c.members[s.id]}, func(g *task.Group) error {
 			listener, err := p.network.Listen(ctx, p.address)
 			if err != nil {
 				return err
