expertmap: test late orders at engines that ignore fencing tokens

Cause: the random run never delivered an order late enough to show that a new sidecar must wait before it trusts such an engine.

Change: every 29th order to such an engine is obeyed late, and stand-in engines keep six maps, so that a late order can name an old one.

--- a/internal/decide/expertmap/random_test.go
+++ b/internal/decide/expertmap/random_test.go
@@ -40,6 +40,7 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	w := newWorld(2+rng.IntN(7), rng.IntN(2) == 0)
 	faults := rng.IntN(5)
+	w.slowOrders = faults > 0
 	for range 30000 {
 		w.random(rng, faults)
 		if len(w.engines.TwoMaps()) > 0 {
@@ -105,6 +106,10 @@
 func (w *world) recover(t *testing.T, seed uint64, rng *rand.Rand) {
 	t.Helper()
 	clear(w.cut)
+	w.slowOrders = false
+	for i := range w.bag {
+		w.bag[i].slow = false
+	}
 	for r := range w.nodes {
 		w.paused[r] = w.now
 		w.engines.Stall(ident.Rank(r), false)
--- a/internal/decide/expertmap/world_test.go
+++ b/internal/decide/expertmap/world_test.go
@@ -18,6 +18,8 @@
 	order       *expertmap.Order
 	reply       *expertmap.OrderReply
 	sent        time.Time
+	// slow marks an order that an engine without fencing obeys late.
+	slow bool
 }
 
 // world is a group of ranks with their engines, a bag of messages and a clock.
@@ -37,6 +39,9 @@
 	formed   int
 	sentWire int
 	margin   uint64
+	orders   int
+	// slowOrders makes every 29th order to an engine without fencing late.
+	slowOrders bool
 }
 
 const (
@@ -90,7 +95,9 @@
 				w.bag = append(w.bag, flight{to: a.To, wire: &a.Wire, sent: w.now})
 			}
 		case expertmap.Instruct:
-			w.bag = append(w.bag, flight{to: r, incarnation: w.incs[r], order: &a.Order, sent: w.now})
+			w.orders++
+			slow := !w.fencing && w.slowOrders && w.orders%29 == 0
+			w.bag = append(w.bag, flight{to: r, incarnation: w.incs[r], order: &a.Order, sent: w.now, slow: slow})
 		case expertmap.Notice:
 			w.note(a)
 		}
@@ -114,7 +121,7 @@
 // nothing; the item then stays in the bag. Orders reach a paused rank's engine.
 func (w *world) deliver(i int) {
 	f := w.bag[i]
-	if f.order == nil && !w.awake(f.to) {
+	if f.order == nil && !w.awake(f.to) || f.slow && w.now.Sub(f.sent) <= settle/2 {
 		return
 	}
 	w.bag[i] = w.bag[len(w.bag)-1]
--- a/internal/standin/group/engine.go
+++ b/internal/standin/group/engine.go
@@ -118,15 +118,23 @@
 	return expertmap.ResultDone
 }
 
-// load keeps the map beside the one in use and drops the others.
+// keptMaps is how many loaded maps an engine keeps. Old ones make late orders
+// dangerous, as they would be at an engine with memory to spare.
+const keptMaps = 6
+
+// load keeps the map beside the one in use and drops the oldest ones.
 func (k *rank) load(o expertmap.Order) {
-	for e := range k.maps {
-		if e != k.current && e != k.next {
-			delete(k.maps, e)
-			delete(k.hashes, e)
+	k.maps[o.Token], k.hashes[o.Token] = o.Map, o.Map.Hash()
+	for len(k.maps) > keptMaps {
+		oldest := o.Token
+		for e := range k.maps {
+			if e != k.current && e != k.next {
+				oldest = min(oldest, e)
+			}
 		}
+		delete(k.maps, oldest)
+		delete(k.hashes, oldest)
 	}
-	k.maps[o.Token], k.hashes[o.Token] = o.Map, o.Map.Hash()
 }
 
 // settle takes over a switch whose step is the next one.
