standin: end a resumed stream without repeating its end event

A receiver counts events. One that already had the event with the finish reason, but not the end mark, received it twice after a resume. The resume test now checks every position in events.

--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -50,7 +50,8 @@
 	MaxCompletionTokens int              `json:"max_completion_tokens"`
 	Stream              bool             `json:"stream"`
 	Priority            Priority         `json:"anvilpoint_priority"`
-	// Resume is the number of tokens that the caller already has.
+	// Resume is the number of events that the caller already has: one per token,
+	// and one more for the end of the answer.
 	Resume int `json:"anvilpoint_resume"`
 }
 
@@ -71,11 +72,13 @@
 
 // reader is what the handler knows about one completion.
 type reader struct {
-	id       string
-	model    ident.ModelName
-	seed     uint64
-	prompt   int
-	from     int
+	id     string
+	model  ident.ModelName
+	seed   uint64
+	prompt int
+	from   int
+	// endSeen says that the caller already has the event that ends the answer.
+	endSeen  bool
 	sequence *sequence
 	// head is the start of every event of the stream.
 	head []byte
@@ -89,7 +92,7 @@
 	length := answer.Length(seed, c.MaxTokens)
 	from := min(c.Resume, length)
 	prompt := promptTokens(c.Messages)
-	return &reader{id: id, model: c.Model, seed: seed, prompt: prompt, from: from, head: eventHead(id, c.Model), sequence: &sequence{
+	return &reader{id: id, model: c.Model, seed: seed, prompt: prompt, from: from, endSeen: c.Resume > length, head: eventHead(id, c.Model), sequence: &sequence{
 		id: id, priority: int(c.Priority), blocks: promptBlocks(string(c.Model), c.Messages),
 		work: prompt + from, next: from, length: length,
 	}}
@@ -147,7 +150,9 @@
 	_ = flusher.Flush()
 	for {
 		p := d.receive(r)
-		_, _ = w.Write(d.event(p))
+		if !p.last || !d.endSeen {
+			_, _ = w.Write(d.event(p))
+		}
 		if p.last {
 			_, _ = w.Write([]byte("data: [DONE]\n\n"))
 			_ = flusher.Flush()
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -60,7 +60,10 @@
 	Priority  string           `json:"anvilpoint_priority,omitempty"`
 }
 
-// readTokens reads a stream up to the given number of tokens or its end.
+// endEvent stands for the event that ends an answer.
+const endEvent = "(end)"
+
+// readTokens reads a stream up to the given number of events or its end mark.
 func readTokens(t *testing.T, r *http.Response, most int) (tokens []string, finished bool) {
 	t.Helper()
 	lines := bufio.NewScanner(r.Body)
@@ -73,12 +76,17 @@
 			return tokens, true
 		}
 		var event struct {
-			Choices []struct{ Delta struct{ Content string } }
+			Choices []struct {
+				Delta  struct{ Content string }
+				Finish string `json:"finish_reason"`
+			}
 		}
 		must.NoError(t, json.Unmarshal([]byte(data), &event))
-		if text := event.Choices[0].Delta.Content; text != "" {
-			tokens = append(tokens, text)
+		text := event.Choices[0].Delta.Content
+		if event.Choices[0].Finish != "" {
+			text = endEvent
 		}
+		tokens = append(tokens, text)
 	}
 	return tokens, false
 }
@@ -91,10 +99,10 @@
 	const length = 12
 	seed := answer.Seed("demo", prompt)
 	for resume := 0; resume <= length+1; resume++ {
-		head, _ := readTokens(t, post(t, first, "/v1/chat/completions", ask{Model: "demo", Messages: prompt, MaxTokens: length, Stream: true}), min(resume, length))
-		tail, finished := readTokens(t, post(t, second, "/v1/chat/completions", ask{Model: "demo", Messages: prompt, MaxTokens: length, Stream: true, Resume: resume}), length+1)
+		head, _ := readTokens(t, post(t, first, "/v1/chat/completions", ask{Model: "demo", Messages: prompt, MaxTokens: length, Stream: true}), resume)
+		tail, finished := readTokens(t, post(t, second, "/v1/chat/completions", ask{Model: "demo", Messages: prompt, MaxTokens: length, Stream: true, Resume: resume}), length+2)
 		must.True(t, finished)
-		must.Eq(t, answer.Text(seed, 0, length), strings.Join(append(head, tail...), ""))
+		must.Eq(t, answer.Text(seed, 0, length)+endEvent, strings.Join(append(head, tail...), ""))
 	}
 }
 
