--- a/internal/standin/dev/cluster.go
+++ b/internal/standin/dev/cluster.go
@@ -23,10 +23,10 @@
 
 const mailboxCapacity = 1024
 
-// keysMargin is the time between the start of the processes and the time that
-// the demo record states for unused idempotency keys. No caller is served before
-// that time, so the statement is true, and every process has started before it,
-// so opaque keys are accepted at once.
+// keysMargin is the time between the first publish and the time that the demo
+// record states for unused idempotency keys. The processes start in between, so
+// they accept opaque keys at once. The statement is true for a caller that waits
+// until the installation is ready.
 const keysMargin = time.Second
 
 // ErrStopped means that the installation's task has ended.
@@ -144,6 +144,17 @@
 	defer c.mailbox.Close()
 	standins := c.startStandins(lifetime)
 	c.processes = task.NewGroup(lifetime)
+	c.keysValid = time.Now().Add(keysMargin)
+	err := c.publishFirst()
+	if err == nil {
+		c.launchAll()
+		err = c.serve(ctx)
+		c.stopAll()
+	}
+	return firstError(err, c.processes.Stop(c.options.Grace), standins.Stop(0))
+}
+
+func (c *Cluster) launchAll() {
 	machine := chart.MustBind(charts.Must("standin-process"), chart.Binding[*process]{
 		Actions: map[string]func(*process){
 			"launch": (*process).launch, "kill": (*process).terminate, "drain": (*process).drain,
@@ -153,13 +164,6 @@
 	for _, p := range c.all {
 		p.life = machine.New(time.Now(), p)
 	}
-	c.keysValid = time.Now().Add(keysMargin)
-	err := c.publishFirst()
-	if err == nil {
-		err = c.serve(ctx)
-	}
-	c.stopAll()
-	return firstError(err, c.processes.Stop(c.options.Grace), standins.Stop(0))
 }
 
 func firstError(list ...error) error {
