entry: let handlers wait on channels of their own and report credit less often

All handlers waited on one channel for the end of the dispatch task, and each delivery sent the dispatch task a message. Now the dispatch task closes the handlers' channels when it ends, and credit is reported for 32 KiB at a time.

--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -122,6 +121,7 @@
 	var c collector
 	readable := true
 	begun := false
+	var used int64
 	for {
 		d, ok := s.next(r, t)
 		if !ok {
@@ -130,14 +130,13 @@
 		if !begun && d.end != nil && answeredOtherwise(w, d) {
 			return
 		}
-		var bytes int64
 		for _, piece := range d.pieces {
 			readable = c.add(piece) && readable
-			bytes += stream.Cost(piece)
+			used += stream.Cost(piece)
 			begun = true
 		}
 		if d.end == nil {
-			s.dispatch.Send(context.Background(), consumed{ticket: t.ticket, bytes: bytes})
+			used = s.consumed(t, used)
 			continue
 		}
 		writeAssembled(w, d, &c, readable)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -128,7 +128,7 @@
 
 // run is the task.
 func (d *dispatch) run(ctx context.Context) error {
-	defer d.mailbox.Close()
+	defer d.close()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -144,6 +144,14 @@
 	}
 }
 
+// close tells handlers that nothing more will come.
+func (d *dispatch) close() {
+	d.mailbox.Close()
+	for _, f := range d.flights {
+		close(f.out)
+	}
+}
+
 func (d *dispatch) step(now time.Time, m dispatchMessage) {
 	switch m := m.(type) {
 	case submit:
@@ -312,7 +320,7 @@
 }
 
 // creditStep is the number of consumed bytes after which a credit is sent.
-const creditStep = 64 << 10
+const creditStep = 32 << 10
 
 func (d *dispatch) consumed(m consumed) {
 	if f, known := d.flights[m.ticket]; known {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -104,16 +104,15 @@
 }
 
 // next waits for the next delivery. False means that the caller has left or the
-// process ends.
+// process ends. It waits on channels that no other handler uses: a channel that
+// all handlers wait on makes each wait take a contended lock.
 func (s *callers) next(r *http.Request, t submitted) (delivery, bool) {
 	select {
-	case d := <-t.delivery:
-		return d, true
+	case d, open := <-t.delivery:
+		return d, open
 	case <-r.Context().Done():
 		s.dispatch.Send(context.WithoutCancel(r.Context()), callerLeft{ticket: t.ticket})
 		return delivery{}, false
-	case <-s.dispatch.Closed():
-		return delivery{}, false
 	}
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -20,6 +20,9 @@
 const (
 	// eventBuffer collects the events of one delivery into one write.
 	eventBuffer = 8 << 10
+	// reportStep is the used credit after which a handler tells the dispatch task,
+	// small beside the window of a stream.
+	reportStep = 32 << 10
 	// readOnLimit is how long a caller waits for the holder of a stream.
 	readOnLimit = 10 * time.Second
 	// readOnRefusals is how many sidecars are asked for a stream.
@@ -31,6 +34,7 @@
 // its status code.
 func (s *callers) stream(w http.ResponseWriter, r *http.Request, t submitted) {
 	out := events{control: http.NewResponseController(w), writer: w}
+	var used int64
 	for {
 		d, ok := s.next(r, t)
 		if !ok {
@@ -43,7 +47,7 @@
 			}
 			out.begin(d.id)
 		}
-		bytes := out.pieces(d)
+		used += out.pieces(d)
 		if d.end != nil {
 			out.end(d.end)
 			return
@@ -52,10 +56,20 @@
 			s.dispatch.Send(context.Background(), callerLeft{ticket: t.ticket})
 			return
 		}
-		s.dispatch.Send(context.Background(), consumed{ticket: t.ticket, bytes: bytes})
+		used = s.consumed(t, used)
 	}
 }
 
+// consumed reports used credit once enough has come together, and returns what
+// is left to report.
+func (s *callers) consumed(t submitted, used int64) int64 {
+	if used < reportStep {
+		return used
+	}
+	s.dispatch.Send(context.Background(), consumed{ticket: t.ticket, bytes: used})
+	return 0
+}
+
 // answeredOtherwise writes the answer of a request that ended without a stream:
 // a problem, or what the engine answered instead of one.
 func answeredOtherwise(w http.ResponseWriter, d delivery) bool {
