link: gather messages that can wait into one write every 2 ms

Pieces of an answer after the first, and credits, wait up to 2 ms after the last write of the link; everything else is written at once and takes the waiting messages along.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -22,6 +22,11 @@
 	silenceLimit = 3500 * time.Millisecond
 	// writeLimit closes a link whose peer takes no data.
 	writeLimit = 5 * time.Second
+	// gatherTime is the least time between two writes of messages that can wait.
+	// A write and the wake-up of its reader cost several microseconds, so that
+	// one write for each token is most of the cost of a relay. A message on a
+	// quiet link is written at once.
+	gatherTime = 2 * time.Millisecond
 )
 
 // outboundCapacity bounds the messages that wait for the socket. Credits keep
@@ -71,6 +76,7 @@
 	peer      message.Hello
 	address   string
 	outbound  *task.Mailbox[message.Message]
+	urgent    *task.Mailbox[struct{}]
 	heartbeat *task.Mailbox[message.Heartbeat]
 	closing   *task.Mailbox[string]
 }
@@ -79,6 +85,7 @@
 	return &Link{
 		address:   address,
 		outbound:  task.NewMailbox[message.Message](outboundCapacity, task.RejectNew),
+		urgent:    task.NewMailbox[struct{}](1, task.RejectNew),
 		heartbeat: task.NewMailbox[message.Heartbeat](1, task.DropOldest),
 		closing:   task.NewMailbox[string](1, task.RejectNew),
 	}
@@ -97,9 +104,25 @@
 	if result == task.Rejected {
 		l.Close("outbound queue full")
 	}
+	if !canWait(m) {
+		l.urgent.Send(context.Background(), struct{}{})
+	}
 	return result.Accepted()
 }
 
+// canWait reports whether the message may wait for others to share a write. The
+// first piece of an answer may not, since callers wait for it.
+func canWait(m message.Message) bool {
+	switch m := m.(type) {
+	case *message.Chunk:
+		return m.Sequence > 1
+	case *message.Credit:
+		return true
+	default:
+		return false
+	}
+}
+
 // SetHeartbeat replaces the content of the following heartbeats. The link sets
 // sequence and echo. An urgent change is sent at once.
 func (l *Link) SetHeartbeat(h message.Heartbeat) {
--- a/internal/link/run.go
+++ b/internal/link/run.go
@@ -42,6 +42,11 @@
 	deliver  context.Context
 	frame    []byte
 	isClosed end
+	// gather runs while messages that can wait are left in the queue.
+	gather    *time.Timer
+	gathering bool
+	kept      message.Message
+	wrote     time.Time
 }
 
 // inbound is what the reading goroutine hands to the link's task.
@@ -115,6 +120,8 @@
 func (r *runner) loop(ctx context.Context) {
 	hello := r.config.Hello()
 	r.beat.Record = hello.Record
+	r.gather = time.NewTimer(time.Hour)
+	defer r.gather.Stop()
 	r.write(ctx, &hello)
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
@@ -123,7 +130,11 @@
 		case in := <-r.inbound.Receive():
 			r.take(ctx, in)
 		case m := <-r.outbound():
-			r.write(ctx, m)
+			r.send(ctx, m)
+		case <-r.urgent():
+			r.writeReady(ctx)
+		case <-r.gather.C:
+			r.writeReady(ctx)
 		case h := <-r.link.heartbeat.Receive():
 			r.replaceBeat(ctx, h)
 		case now := <-ticker.C:
@@ -136,14 +147,49 @@
 	}
 }
 
-// outbound withholds messages until the peer's Hello has arrived.
+// outbound withholds messages until the peer's Hello has arrived, and while
+// others gather for the next write.
 func (r *runner) outbound() <-chan message.Message {
-	if r.life.In("open") {
+	if r.life.In("open") && !r.gathering {
 		return r.link.outbound.Receive()
 	}
 	return nil
 }
 
+func (r *runner) urgent() <-chan struct{} {
+	if r.life.In("open") {
+		return r.link.urgent.Receive()
+	}
+	return nil
+}
+
+// send writes the message, or keeps it for the next write if it can wait and
+// the last write was a moment ago.
+func (r *runner) send(ctx context.Context, m message.Message) {
+	wait := gatherTime - time.Since(r.wrote)
+	if wait <= 0 || !canWait(m) {
+		r.write(ctx, m)
+		return
+	}
+	r.kept = m
+	r.gathering = true
+	r.gather.Reset(wait)
+}
+
+// writeReady ends the gathering and writes everything that waits.
+func (r *runner) writeReady(ctx context.Context) {
+	r.gathering = false
+	r.gather.Stop()
+	m := r.kept
+	r.kept = nil
+	if m == nil {
+		m = r.ready()
+	}
+	if m != nil && !r.life.Done() {
+		r.write(ctx, m)
+	}
+}
+
 func (r *runner) replaceBeat(ctx context.Context, h message.Heartbeat) {
 	urgent := h.Draining != r.beat.Draining || h.Record != r.beat.Record || h.Load.GroupState != r.beat.Load.GroupState
 	h.Sequence, h.Echo = r.beat.Sequence, r.beat.Echo
@@ -187,6 +233,11 @@
 		return
 	}
 	r.frame = batch
+	r.wrote = time.Now()
+	if len(batch) >= batchBytes {
+		// More is likely to wait; a full batch need not gather again.
+		r.wrote = time.Time{}
+	}
 	limited, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
 	if err := r.socket.Write(limited, websocket.MessageBinary, batch); err != nil {
