--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -18,8 +17,6 @@
 )
 
 const (
-	// eventBuffer collects the events of one delivery into one write.
-	eventBuffer = 8 << 10
 	// reportStep is the used credit after which a handler tells the dispatch task,
 	// small beside the window of a stream.
 	reportStep = 32 << 10
@@ -84,12 +81,12 @@
 	return false
 }
 
-// events writes server-sent events.
+// events writes server-sent events. Each delivery is formatted into one buffer
+// and leaves in one write.
 type events struct {
 	control *http.ResponseController
 	writer  http.ResponseWriter
-	buffer  *bufio.Writer
-	number  []byte
+	buffer  []byte
 	begun   bool
 }
 
@@ -99,28 +96,28 @@
 	h.Set("Cache-Control", "no-store")
 	h.Set(headerRequestID, string(id))
 	e.writer.WriteHeader(http.StatusOK)
-	e.buffer = bufio.NewWriterSize(e.writer, eventBuffer)
 	e.begun = true
 }
 
-// pieces writes the events of a delivery and returns the credit they used.
-// Errors of the buffer stay until flush reports them.
+// pieces formats the events of a delivery and returns the credit they used.
 func (e *events) pieces(d delivery) int64 {
 	var bytes int64
 	for n, piece := range d.pieces {
-		e.number = strconv.AppendUint(e.number[:0], d.first+uint64(n), 10)
-		_, _ = e.buffer.WriteString("id: ")
-		_, _ = e.buffer.Write(e.number)
-		_, _ = e.buffer.WriteString("\ndata: ")
-		_, _ = e.buffer.Write(piece)
-		_, _ = e.buffer.WriteString("\n\n")
+		e.buffer = append(e.buffer, "id: "...)
+		e.buffer = strconv.AppendUint(e.buffer, d.first+uint64(n), 10)
+		e.buffer = append(e.buffer, "\ndata: "...)
+		e.buffer = append(e.buffer, piece...)
+		e.buffer = append(e.buffer, "\n\n"...)
 		bytes += stream.Cost(piece)
 	}
 	return bytes
 }
 
+// flush reports whether the caller's connection took what was formatted.
 func (e *events) flush() bool {
-	return e.buffer.Flush() == nil && e.control.Flush() == nil
+	_, err := e.writer.Write(e.buffer)
+	e.buffer = e.buffer[:0]
+	return err == nil && e.control.Flush() == nil
 }
 
 // end writes the last event: [DONE] after a whole answer, otherwise an event
@@ -128,7 +125,7 @@
 // for a whole one.
 func (e *events) end(end *ending) {
 	if end.outcome.Kind == outcome.Completed {
-		_, _ = e.buffer.WriteString("data: [DONE]\n\n")
+		e.buffer = append(e.buffer, "data: [DONE]\n\n"...)
 		e.flush()
 		return
 	}
@@ -136,9 +133,9 @@
 	if err != nil {
 		document = []byte("{}")
 	}
-	_, _ = e.buffer.WriteString("event: error\ndata: ")
-	_, _ = e.buffer.Write(document)
-	_, _ = e.buffer.WriteString("\n\n")
+	e.buffer = append(e.buffer, "event: error\ndata: "...)
+	e.buffer = append(e.buffer, document...)
+	e.buffer = append(e.buffer, "\n\n"...)
 	e.flush()
 }
 
