sidecar, entry: run bookings and queue work by shares

Calls that are not repeatable went to a server by rendezvous hashing and were run like any other. They now pass through a bookings task at the entry (booking.Caller) and one beside each plain service (booking.Home). Sidecars of a service keep links to each other for Release and Seal. A committed booking takes a slot of the run queue in the lane of the bookings. The run queue uses package admission instead of first-come-first-served, and its heartbeat carries the credit of each entry. pathtest's instance list now shows the sidecars, because homes draw conclusions from it. TestServiceCall used one key for three bodies and TestServiceBreaksOffAfterTheCall one key for two calls, which now count as reuse; they use a key each and check the same things, and unknown answers are asked for twice.

--- a/internal/decide/booking/caller.go
+++ b/internal/decide/booking/caller.go
@@ -222,6 +222,7 @@
 	k.owner.out = append(k.owner.out, SendHome{To: k.home, Message: &message.BookCommit{
 		Request: k.begin.Request, Incarnation: k.reserved.Incarnation, Nonce: k.reserved.Nonce,
 		RemainingMS: k.remaining(), Method: k.begin.Method, Path: k.begin.Path, Header: k.begin.Header, Body: k.begin.Body,
+		Service: k.begin.Key.Service,
 	}})
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -59,6 +59,7 @@
 	dialers  map[string]context.CancelFunc
 	dial     func(ctx context.Context, address string)
 	dispatch *task.Mailbox[dispatchMessage]
+	bookings *task.Mailbox[bookingMessage]
 	logger   zerolog.Logger
 	events   *eventlog.Log
 	metrics  *metrics
@@ -86,6 +87,7 @@
 	c.events.Emit(eventlog.Event{Name: "process.changed", Chart: t.Chart, From: t.From, To: t.To, Instance: c.instance})
 	if t.To == "draining" {
 		c.dispatch.Send(context.Background(), stopTaking{})
+		c.bookings.Send(context.Background(), stopBookings{})
 	}
 }
 
@@ -168,6 +170,7 @@
 	c.metrics.record.Set(float64(s.Digest.Revision))
 	c.events.Emit(eventlog.Event{Name: "record.adopted", Revision: s.Digest.Revision})
 	c.dispatch.Send(ctx, setSnapshot{snapshot: s})
+	c.bookings.Send(ctx, bookingRecord{snapshot: s})
 	c.connect(ctx, s)
 	if _, ok := c.life.Fire(now, "configured"); ok && c.ready != nil {
 		c.ready()
@@ -223,7 +226,8 @@
 func (c *control) tick(ctx context.Context, now time.Time) {
 	if c.life.In("draining") {
 		flights, ok := task.Ask(ctx, c.dispatch, func(reply chan<- int) dispatchMessage { return askFlights{reply: reply} })
-		if ok && flights == 0 {
+		bookings, also := task.Ask(ctx, c.bookings, func(reply chan<- int) bookingMessage { return askBookings{reply: reply} })
+		if ok && also && flights+bookings == 0 {
 			c.life.Fire(now, "drained")
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,6 +50,7 @@
 	group    *task.Group
 	metrics  *metrics
 	dispatch *dispatch
+	bookings *bookings
 	control  *control
 	start    ident.Incarnation
 }
@@ -106,6 +108,7 @@
 	if p.dispatch, err = newDispatch(picker, p.random(2), o.Settings.Instance, o.Events, p.metrics); err != nil {
 		return nil, err
 	}
+	p.bookings = newBookings(p.random(6), o.Events, p.metrics)
 	p.config = link.Config{
 		Codec: c, Clock: o.Events.Clock(), Hello: p.hello, Accepts: accepts, Deliver: p.deliver,
 		Closed: func(reason string) { p.metrics.links.WithLabelValues(reason).Inc() },
@@ -122,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	c.instance, c.dispatch = p.options.Settings.Instance, p.dispatch.mailbox
+	c.instance, c.dispatch, c.bookings = p.options.Settings.Instance, p.dispatch.mailbox, p.bookings.mailbox
 	c.logger, c.events, c.metrics = p.options.Logger, p.options.Events, p.metrics
 	c.ready, c.random = p.options.Ready, p.random(3)
 	c.dial = func(ctx context.Context, address string) {
@@ -170,17 +173,32 @@
 	}
 	if e.Link.Peer().Role == message.RoleSidecar {
 		p.dispatch.mailbox.Send(ctx, linkActivity{event: e})
+		p.deliverBookings(ctx, e)
 	}
 }
 
+// deliverBookings passes on what concerns bookings.
+func (p *process) deliverBookings(ctx context.Context, e link.Event) {
+	if e.Kind == link.Received && !slices.ContainsFunc(e.Messages, answersBooking) {
+		return
+	}
+	p.bookings.mailbox.Send(ctx, bookingActivity{event: e})
+}
+
+func answersBooking(m message.Message) bool {
+	kind := message.KindOf(m)
+	return kind == message.KindReserved || kind == message.KindBookResult
+}
+
 func (p *process) serve(l listeners) error {
 	s := p.options.Settings
 	tlsConfig, err := link.TLSConfig(s.TLS)
 	if err != nil {
 		return err
 	}
-	callers := &callers{dispatch: p.dispatch.mailbox, control: p.control.mailbox, maxBody: s.MaxBodyBytes, metrics: p.metrics}
+	callers := &callers{dispatch: p.dispatch.mailbox, control: p.control.mailbox, bookings: p.bookings.mailbox, maxBody: s.MaxBodyBytes, metrics: p.metrics}
 	p.group.Go("dispatch", p.dispatch.run)
+	p.group.Go("bookings", p.bookings.run)
 	p.listener("caller listener", l.callers, func(context.Context) http.Handler { return callers.handler() })
 	p.listener("link listener", link.Listener(l.links, tlsConfig), func(ctx context.Context) http.Handler {
 		return link.Accept(ctx, p.config)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,6 +22,7 @@
 type callers struct {
 	dispatch *task.Mailbox[dispatchMessage]
 	control  *task.Mailbox[controlMessage]
+	bookings *task.Mailbox[bookingMessage]
 	maxBody  int64
 	metrics  *metrics
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -49,6 +49,10 @@
 		refuse(w, outcome.ReasonMalformed, "a call that is not repeatable needs an Idempotency-Key")
 		return
 	}
+	if !sub.plan.Repeatable {
+		s.book(w, r, sub)
+		return
+	}
 	t, ok := s.submit(w, r, sub)
 	if !ok {
 		return
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -287,6 +287,7 @@
 	Path        string
 	Header      [][2]string
 	Body        []byte
+	Service     ident.ServiceName
 }
 
 // BookResult ends a booking call: the stored answer, or why there is none.
--- /dev/null
+++ b/internal/pathtest/booking_test.go
@@ -0,0 +1,108 @@
+package pathtest_test
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/pathtest"
+)
+
+// book sends a booking until the sidecars have the record that vouches for
+// opaque keys. Before that, the answer is unknown and the key is not touched.
+func (f *fixture) book(entry int, path, key string, body []byte) *http.Response {
+	f.Helper()
+	for {
+		r := f.do(entry, http.MethodPost, "/v1/services/logbook"+path, pathtest.Key, body, "Idempotency-Key", key)
+		if r.StatusCode != http.StatusBadGateway {
+			return r
+		}
+		p := readProblem(f.T, r)
+		if p.Reason == "key-older-than-memory" || p.Reason == "not-home" {
+			continue
+		}
+		again := f.do(entry, http.MethodPost, "/v1/services/logbook"+path, pathtest.Key, body, "Idempotency-Key", key)
+		must.Eq(f, http.StatusBadGateway, again.StatusCode)
+		return again
+	}
+}
+
+// startServices starts services with their sidecars and entries.
+func startServices(t *testing.T, services, entries int) (*fixture, []*pathtest.PlainService) {
+	t.Helper()
+	var list []*pathtest.PlainService
+	var backends []pathtest.Backend
+	for n := range services {
+		s := pathtest.NewService("")
+		t.Cleanup(s.Close)
+		list = append(list, s)
+		backends = append(backends, serviceBackend("s"+strconv.Itoa(n), s))
+	}
+	f := newFixture(t, backends...)
+	f.start(entries)
+	must.NoError(t, f.world.Vouch())
+	return f, list
+}
+
+func countCalls(services []*pathtest.PlainService) int {
+	n := 0
+	for _, s := range services {
+		n += len(s.Calls)
+	}
+	return n
+}
+
+// Guards against a key that runs twice when it comes through two entries at
+// once, and against answers that differ.
+func TestSameKeyThroughTwoEntries(t *testing.T) {
+	f, services := startServices(t, 3, 2)
+	f.book(0, "/loads", "warm", []byte("x"))
+	before := countCalls(services)
+	for n := range 20 {
+		key := "load-" + strconv.Itoa(n)
+		var both sync.WaitGroup
+		answers := make([]*http.Response, 2)
+		for e := range 2 {
+			both.Go(func() { answers[e] = f.book(e, "/loads", key, []byte(key)) })
+		}
+		both.Wait()
+		for _, r := range answers {
+			must.Eq(t, http.StatusCreated, r.StatusCode)
+			body, err := io.ReadAll(r.Body)
+			must.NoError(t, err)
+			must.Eq(t, key, string(body))
+		}
+	}
+	must.Eq(t, before+20, countCalls(services))
+}
+
+// Guards against a key that is taken for another request, account or call.
+func TestKeyIsBoundToItsRequest(t *testing.T) {
+	f, services := startServices(t, 2, 1)
+	must.Eq(t, http.StatusCreated, f.book(0, "/loads", "k", []byte("a")).StatusCode)
+	again := f.book(0, "/loads", "k", []byte("a"))
+	must.Eq(t, "true", again.Header.Get("Anvilpoint-Replayed"))
+	other := f.book(0, "/loads", "k", []byte("b"))
+	must.Eq(t, problem{http.StatusUnprocessableEntity, "not-run", "key-reused-with-other-request"}, readProblem(t, other))
+	theirs := f.do(0, http.MethodPost, "/v1/services/logbook/loads", pathtest.OtherKey, []byte("b"), "Idempotency-Key", "k")
+	must.Eq(t, http.StatusCreated, theirs.StatusCode)
+	must.Eq(t, 2, countCalls(services))
+}
+
+// Guards against a key that runs again after its home lost its memory.
+func TestRestartedHomeAnswersUnknown(t *testing.T) {
+	f, services := startServices(t, 1, 1)
+	must.Eq(t, http.StatusCreated, f.book(0, "/loads", "k", []byte("a")).StatusCode)
+	f.sidecars[0].Kill()
+	<-f.sidecars[0].Done
+	p, err := f.world.StartSidecar(f.backends[0], f.addresses[0])
+	must.NoError(t, err)
+	f.sidecars[0] = p
+	r := f.do(0, http.MethodPost, "/v1/services/logbook/loads", pathtest.Key, []byte("a"), "Idempotency-Key", "k")
+	must.Eq(t, "unknown", readProblem(t, r).Outcome)
+	must.Eq(t, 1, countCalls(services))
+}
--- /dev/null
+++ b/internal/sidecar/booking_links.go
@@ -0,0 +1,50 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/anvilpoint/anvilpoint/internal/link"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/platform"
+	"github.com/anvilpoint/anvilpoint/internal/service"
+)
+
+// assembleBookings makes the bookings task and its links to other sidecars.
+func (p *process) assembleBookings() error {
+	s := p.options.Settings
+	tlsConfig, err := link.TLSConfig(s.TLS)
+	if err != nil {
+		return err
+	}
+	seed := uint64(p.start)
+	dial := func(ctx context.Context, address string) {
+		seed++
+		dialer := &link.Dialer{
+			Config: p.config, Address: address, Network: p.options.Network, TLS: tlsConfig,
+			Random: rand.New(rand.NewPCG(seed, 3)),
+		}
+		p.group.Go("link to "+address, func(context.Context) error { return dialer.Run(ctx) })
+	}
+	b := newBookings(s.Backend.Server, s.LinkListen, p.start, newPeers(p.group.Context(), dial))
+	b.queue, b.events, b.metrics = p.queue.mailbox, p.options.Events, p.metrics
+	p.bookings = b
+	p.queue.bookings = &bookingCaller{
+		group: p.group, service: service.New(s.Backend.URL, platform.Client(p.options.Network)),
+		bookings: b.mailbox, queue: p.queue.mailbox,
+	}
+	return nil
+}
+
+// deliverBookings passes the frames of bookings on.
+func (p *process) deliverBookings(ctx context.Context, e link.Event) {
+	if e.Kind != link.Received {
+		p.bookings.mailbox.Send(ctx, bookingLink{event: e})
+	}
+	for _, m := range e.Messages {
+		switch m.(type) {
+		case *message.Book, *message.BookCommit, *message.Seal, *message.Sealed, *message.Release, *message.Released:
+			p.bookings.mailbox.Send(ctx, bookingFrame{link: e.Link, message: m})
+		}
+	}
+}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -69,12 +69,14 @@
 	leavingServer bool
 	hasEngine     bool
 
-	queue   *task.Mailbox[queueMessage]
-	streams *task.Mailbox[streamMessage]
-	logger  zerolog.Logger
-	events  *eventlog.Log
-	metrics *metrics
-	ready   func()
+	// bookings is nil beside an engine.
+	bookings *bookings
+	queue    *task.Mailbox[queueMessage]
+	streams  *task.Mailbox[streamMessage]
+	logger   zerolog.Logger
+	events   *eventlog.Log
+	metrics  *metrics
+	ready    func()
 }
 
 func newControl(now time.Time, grace time.Duration) (*control, error) {
@@ -99,8 +101,10 @@
 	switch t.To {
 	case "ready":
 		c.queue.Send(context.Background(), setRefusal{reason: outcome.ReasonNone})
+		c.tellBookings(bookingDrain{})
 	case "leaving", "draining":
 		c.queue.Send(context.Background(), setRefusal{reason: outcome.ReasonDraining})
+		c.tellBookings(bookingDrain{on: true})
 	}
 }
 
@@ -180,10 +184,19 @@
 	c.snapshot = snapshot
 	c.metrics.record.Set(float64(snapshot.Digest.Revision))
 	c.events.Emit(eventlog.Event{Name: "record.adopted", Revision: snapshot.Digest.Revision})
+	c.queue.Send(ctx, setShares{snapshot: snapshot})
+	c.tellBookings(bookingRecord{snapshot: snapshot})
 	c.becomeReady(now)
 	c.beat(ctx, now)
 }
 
+// tellBookings passes a message on beside a plain service.
+func (c *control) tellBookings(m bookingMessage) {
+	if c.bookings != nil {
+		c.bookings.mailbox.Send(context.Background(), m)
+	}
+}
+
 // becomeReady leaves the starting state once the record and, beside an engine,
 // its first load report are known.
 func (c *control) becomeReady(now time.Time) {
@@ -205,6 +218,7 @@
 			c.leavingList = i.State == platform.Leaving
 		}
 	}
+	c.tellBookings(bookingList{list: l})
 	c.leave(ctx, now)
 }
 
@@ -252,7 +266,9 @@
 }
 
 func (c *control) figures(ctx context.Context) (figures, bool) {
-	return task.Ask(ctx, c.queue, func(reply chan<- figures) queueMessage { return askFigures{reply: reply} })
+	return task.Ask(ctx, c.queue, func(reply chan<- figures) queueMessage {
+		return askFigures{entries: len(c.links), reply: reply}
+	})
 }
 
 // beat sets the heartbeat of every link. A change of draining is sent at once.
@@ -270,6 +286,7 @@
 		Load: message.Load{
 			Running: f.running, QueuedCost: f.queued, Slots: f.slots,
 			TokensPerSecond: c.load.TokensPerSecond, AgeMS: c.loadAge(now),
+			Window: f.window,
 		},
 	}
 	for l := range c.links {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -11,6 +11,8 @@
 	links    *prometheus.CounterVec
 	record   prometheus.Gauge
 	badValue prometheus.Counter
+	bookings *prometheus.CounterVec
+	keys     prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -35,6 +37,13 @@
 			Name: "anvilpoint_record_refused_total", Help: "Configuration records that were refused.",
 		}),
 	}
+	m.bookings = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "anvilpoint_sidecar_bookings_total", Help: "Answers to booking calls, by outcome and reason.",
+	}, []string{"outcome", "reason"})
+	m.keys = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "anvilpoint_sidecar_booking_keys", Help: "Idempotency keys in the key table.",
+	})
+	m.registry.MustRegister(m.bookings, m.keys)
 	m.registry.MustRegister(m.refused, m.chunks, m.held, m.links, m.record, m.badValue)
 	return m
 }
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -9,6 +9,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/link"
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/record"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
@@ -38,7 +39,12 @@
 	// the reason. ReasonNone takes offers again.
 	setRefusal struct{ reason outcome.Reason }
 	// askFigures asks for the queue's part of the load report.
-	askFigures struct{ reply chan<- figures }
+	askFigures struct {
+		entries int
+		reply   chan<- figures
+	}
+	// setShares gives the record whose shares hold from now on.
+	setShares struct{ snapshot *record.Snapshot }
 )
 
 // figures is the queue's part of the load report.
@@ -47,6 +53,8 @@
 	waiting int
 	queued  [3]int64
 	slots   int
+	// window is the credit of each entry.
+	window [3]int64
 }
 
 func (fromLink) isQueueMessage()   {}
@@ -54,29 +62,33 @@
 func (setSlots) isQueueMessage()   {}
 func (setRefusal) isQueueMessage() {}
 func (askFigures) isQueueMessage() {}
+func (setShares) isQueueMessage()  {}
 
-// offered is a waiting or running offer.
+// offered is a waiting or running offer of an entry, or a booking.
 type offered struct {
-	link  *link.Link
-	offer *message.Offer
+	link    *link.Link
+	offer   *message.Offer
+	booking *bookingRun
 }
 
 // queue is the run-queue task: it owns the waiting work, the record of what was
 // refused, and the calls that run.
 type queue struct {
 	mailbox   *task.Mailbox[queueMessage]
-	scheduler scheduler
+	scheduler *fairQueue
 	ledger    *execution.Ledger
 	offers    map[execution.Key]*offered
 	running   int
 	slots     int
 	refusal   outcome.Reason
 	start     func(key execution.Key, o *offered)
-	streams   *task.Mailbox[streamMessage]
-	metrics   *metrics
+	// bookings makes the calls of bookings. It is nil beside an engine.
+	bookings *bookingCaller
+	streams  *task.Mailbox[streamMessage]
+	metrics  *metrics
 }
 
-func newQueue(s scheduler, slots int, m *metrics) (*queue, error) {
+func newQueue(s *fairQueue, slots int, m *metrics) (*queue, error) {
 	ledger, err := execution.New()
 	return &queue{
 		mailbox:   task.NewMailbox[queueMessage](queueCapacity, task.Block),
@@ -116,12 +128,17 @@
 		q.frame(now, m.link, m.message)
 	case callEnded:
 		q.ended(now, m)
+	case queueBooking:
+		q.booking(now, m.run)
 	case setSlots:
 		q.slots = m.slots
+		q.scheduler.resize(m.slots)
+	case setShares:
+		q.scheduler.configure(m.snapshot)
 	case setRefusal:
 		q.setRefusal(now, m.reason)
 	case askFigures:
-		m.reply <- figures{running: q.running, waiting: len(q.offers) - q.running, queued: q.scheduler.queuedCost(), slots: q.slots}
+		m.reply <- figures{running: q.running, waiting: len(q.offers) - q.running, queued: q.scheduler.queuedCost(), slots: q.slots, window: q.scheduler.window(now, m.entries)}
 	}
 }
 
@@ -149,27 +166,48 @@
 		q.sendRefusal(l, key, outcome.ReasonDeadline, 0)
 		return
 	}
+	o := &offered{link: l, offer: m}
 	if q.refusal != outcome.ReasonNone {
-		q.refuse(now, l, key, q.refusal, 0)
+		q.refuse(now, o, key, q.refusal, 0)
 		return
 	}
 	answer := q.scheduler.offer(now, item{
 		key: key, account: m.Account, weight: m.Weight, class: m.Class, cost: m.Cost, deadline: deadline,
 	})
 	if !answer.queued {
-		q.refuse(now, l, key, answer.reason, answer.retryAfter)
+		q.refuse(now, o, key, answer.reason, answer.retryAfter)
 		return
 	}
 	q.ledger.Queue(now, key)
-	q.offers[key] = &offered{link: l, offer: m}
+	q.offers[key] = o
 	l.Send(&message.Accepted{Request: key.Request, Attempt: key.Attempt})
+	q.displace(now, answer.displaced)
+}
+
+// displace refuses waiting work that lost its place to another account's.
+func (q *queue) displace(now time.Time, keys []execution.Key) {
+	for _, key := range keys {
+		if o, known := q.offers[key]; known {
+			q.refuse(now, o, key, outcome.ReasonAccountShare, time.Second)
+		}
+	}
 }
 
 // refuse records the refusal before it is sent as proof.
-func (q *queue) refuse(now time.Time, l *link.Link, key execution.Key, reason outcome.Reason, retry time.Duration) {
+func (q *queue) refuse(now time.Time, o *offered, key execution.Key, reason outcome.Reason, retry time.Duration) {
 	q.ledger.Refuse(now, key)
 	delete(q.offers, key)
-	q.sendRefusal(l, key, reason, retry)
+	q.refused(o, key, reason, retry)
+}
+
+// refused tells whoever offered the work.
+func (q *queue) refused(o *offered, key execution.Key, reason outcome.Reason, retry time.Duration) {
+	if o.booking == nil {
+		q.sendRefusal(o.link, key, reason, retry)
+		return
+	}
+	q.metrics.refused.WithLabelValues(string(reason)).Inc()
+	q.bookings.refuse(o.booking, reason)
 }
 
 func (q *queue) sendRefusal(l *link.Link, key execution.Key, reason outcome.Reason, retry time.Duration) {
@@ -216,10 +254,15 @@
 		o := q.offers[next.key]
 		if !q.ledger.Start(now, next.key) {
 			delete(q.offers, next.key)
-			q.sendRefusal(o.link, next.key, outcome.ReasonDeadline, 0)
+			q.refused(o, next.key, outcome.ReasonDeadline, 0)
+			q.scheduler.charge(now, next.key, 0)
 			continue
 		}
 		q.running++
+		if o.booking != nil {
+			q.bookings.call(o.booking)
+			continue
+		}
 		q.start(next.key, o)
 	}
 }
@@ -236,7 +279,7 @@
 		q.ledger.Expire(now, i.key)
 		if o, known := q.offers[i.key]; known {
 			delete(q.offers, i.key)
-			q.sendRefusal(o.link, i.key, outcome.ReasonDeadline, 0)
+			q.refused(o, i.key, outcome.ReasonDeadline, 0)
 		}
 	}
 }
@@ -249,7 +292,7 @@
 	for key, o := range q.offers {
 		if q.ledger.Waiting(key) {
 			q.scheduler.withdraw(key)
-			q.refuse(now, o.link, key, reason, 0)
+			q.refuse(now, o, key, reason, 0)
 		}
 	}
 }
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/anvilpoint/anvilpoint/internal/decide/admission"
 	"github.com/anvilpoint/anvilpoint/internal/decide/execution"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/record"
 )
 
 // item is one offer as the scheduler sees it.
@@ -14,90 +16,96 @@
 	account  ident.ClientAccount
 	weight   float64
 	class    ident.PriorityClass
+	booking  bool
 	cost     int64
 	deadline time.Time
 }
 
-// admission is the scheduler's answer to an offer.
-type admission struct {
+// answer is the scheduler's answer to an offer.
+type answer struct {
 	queued     bool
 	reason     outcome.Reason
 	retryAfter time.Duration
+	// displaced is waiting work of other accounts that lost its place.
+	displaced []execution.Key
 }
 
-// scheduler orders the waiting work. The run-queue task owns it.
-type scheduler interface {
-	// offer queues the item or says why not.
-	offer(now time.Time, i item) admission
-	// next returns the item to run first. It is called while a slot is free.
-	next(now time.Time) (item, bool)
-	// charge corrects the estimate by the real cost when an item has run.
-	charge(now time.Time, key execution.Key, cost int64)
-	// withdraw removes a waiting item.
-	withdraw(key execution.Key) bool
-	// expire removes and returns the waiting items whose deadline has passed.
-	expire(now time.Time) []item
-	// queuedCost is the waiting cost by class, most urgent first.
-	queuedCost() [3]int64
+// fairQueue orders the waiting work by package admission. The run-queue task
+// owns it.
+type fairQueue struct {
+	config    admission.Config
+	scheduler *admission.Scheduler
 }
 
-// maxWaiting bounds the waiting items of the first-come-first-served scheduler.
-const maxWaiting = 256
+func newFairQueue(slots int) *fairQueue {
+	c := admission.Config{Slots: slots, UrgentSlots: urgentSlots(slots)}
+	return &fairQueue{config: c, scheduler: admission.New(c)}
+}
 
-// fifo runs items in the order of their arrival.
-type fifo struct{ waiting []item }
+// urgentSlots keeps a sixteenth of the slots for urgent work.
+func urgentSlots(slots int) int { return slots / 16 }
 
-func (f *fifo) offer(_ time.Time, i item) admission {
-	if len(f.waiting) >= maxWaiting {
-		return admission{reason: outcome.ReasonQueueFull, retryAfter: time.Second}
+// configure takes the shares from the record.
+func (f *fairQueue) configure(s *record.Snapshot) {
+	f.config.BookingShare = s.BookingShare
+	f.config.Shares = make(map[ident.PriorityClass]float64)
+	f.config.MaxWait = make(map[ident.PriorityClass]time.Duration)
+	for name, class := range s.Classes {
+		f.config.Shares[name] = class.Share
+		f.config.MaxWait[name] = class.FirstTokenTarget
 	}
-	f.waiting = append(f.waiting, i)
-	return admission{queued: true}
+	f.scheduler.Configure(f.config)
 }
 
-func (f *fifo) next(time.Time) (item, bool) {
-	if len(f.waiting) == 0 {
-		return item{}, false
+func (f *fairQueue) resize(slots int) {
+	if slots == f.config.Slots {
+		return
 	}
-	first := f.waiting[0]
-	f.waiting = f.waiting[1:]
-	return first, true
+	f.config.Slots, f.config.UrgentSlots = slots, urgentSlots(slots)
+	f.scheduler.Configure(f.config)
 }
 
-func (f *fifo) charge(time.Time, execution.Key, int64) {}
-
-func (f *fifo) withdraw(key execution.Key) bool {
-	for n, i := range f.waiting {
-		if i.key == key {
-			f.waiting = append(f.waiting[:n], f.waiting[n+1:]...)
-			return true
-		}
+// offer queues the item or says why not.
+func (f *fairQueue) offer(now time.Time, i item) answer {
+	d := f.scheduler.Offer(now, admission.Item{
+		ID: admission.ID(i.key), Account: i.account, Weight: i.weight, Class: i.class, Booking: i.booking, Cost: i.cost, Deadline: i.deadline,
+	})
+	a := answer{queued: d.Queued, reason: d.Reason, retryAfter: d.RetryAfter}
+	for _, x := range d.Displaced {
+		a.displaced = append(a.displaced, execution.Key(x.ID))
 	}
-	return false
+	return a
 }
 
-func (f *fifo) expire(now time.Time) []item {
-	var expired []item
-	kept := f.waiting[:0]
-	for _, i := range f.waiting {
-		if now.Before(i.deadline) {
-			kept = append(kept, i)
-			continue
-		}
-		expired = append(expired, i)
-	}
-	f.waiting = kept
-	return expired
+// next returns the item to run first. It is called while a slot is free.
+func (f *fairQueue) next(now time.Time) (item, bool) {
+	i, ok := f.scheduler.Next(now)
+	return item{key: execution.Key(i.ID), cost: i.Cost}, ok
+}
+
+// charge corrects the estimate by the real cost when an item has run.
+func (f *fairQueue) charge(now time.Time, key execution.Key, cost int64) {
+	f.scheduler.Charge(now, admission.ID(key), cost)
 }
 
-func (f *fifo) queuedCost() [3]int64 {
-	var cost [3]int64
-	for _, i := range f.waiting {
-		for n, class := range ident.PriorityClasses() {
-			if class == i.class {
-				cost[n] += i.cost
-			}
-		}
+// withdraw removes a waiting item.
+func (f *fairQueue) withdraw(key execution.Key) bool {
+	return f.scheduler.Withdraw(admission.ID(key))
+}
+
+// expire removes and returns the waiting items whose deadline has passed.
+func (f *fairQueue) expire(now time.Time) []item {
+	var list []item
+	for _, i := range f.scheduler.Expire(now) {
+		list = append(list, item{key: execution.Key(i.ID)})
 	}
-	return cost
+	return list
+}
+
+// queuedCost is the waiting cost by class, most urgent first.
+func (f *fairQueue) queuedCost() [3]int64 { return f.scheduler.QueuedCost() }
+
+// window is the credit of each entry by class, most urgent first.
+func (f *fairQueue) window(now time.Time, entries int) [3]int64 {
+	return f.scheduler.Window(now, entries)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -58,8 +58,10 @@
 	queue   *queue
 	streams *streams
 	control *control
-	engine  *engine.Engine
-	start   ident.Incarnation
+	// bookings is nil beside an engine.
+	bookings *bookings
+	engine   *engine.Engine
+	start    ident.Incarnation
 }
 
 // Run runs a sidecar until the context ends, drains it, and returns.
@@ -96,19 +98,24 @@
 	if err != nil {
 		return nil, err
 	}
+	p.config = link.Config{
+		Codec: c, Clock: o.Events.Clock(), Hello: p.hello, Accepts: accepts, Deliver: p.deliver,
+		Closed: func(reason string) { p.metrics.links.WithLabelValues(reason).Inc() },
+	}
 	backend, slots := p.backend()
-	if p.queue, err = newQueue(&fifo{}, slots, p.metrics); err != nil {
+	if p.queue, err = newQueue(newFairQueue(slots), slots, p.metrics); err != nil {
 		return nil, err
 	}
 	if p.streams, err = newStreams(p.metrics); err != nil {
 		return nil, err
 	}
+	if p.engine == nil {
+		if err := p.assembleBookings(); err != nil {
+			return nil, err
+		}
+	}
 	calls := &caller{group: p.group, backend: backend, queue: p.queue.mailbox, streams: p.streams.mailbox}
 	p.queue.start, p.queue.streams = calls.start, p.streams.mailbox
-	p.config = link.Config{
-		Codec: c, Clock: o.Events.Clock(), Hello: p.hello, Accepts: accepts, Deliver: p.deliver,
-		Closed: func(reason string) { p.metrics.links.WithLabelValues(reason).Inc() },
-	}
 	return p, p.assembleControl(now)
 }
 
@@ -120,7 +127,7 @@
 	c.instance = p.options.Settings.Instance
 	c.queue, c.streams = p.queue.mailbox, p.streams.mailbox
 	c.logger, c.events, c.metrics, c.ready = p.options.Logger, p.options.Events, p.metrics, p.options.Ready
-	c.hasEngine = p.engine != nil
+	c.hasEngine, c.bookings = p.engine != nil, p.bookings
 	p.control = c
 	return nil
 }
@@ -153,7 +160,7 @@
 	case message.KindOffer, message.KindWithdraw, message.KindCancel, message.KindCredit, message.KindAttach,
 		message.KindBook, message.KindBookCommit, message.KindUsage:
 		return role == message.RoleEntry
-	case message.KindSeal, message.KindSealed, message.KindReleased, message.KindGroup:
+	case message.KindSeal, message.KindSealed, message.KindRelease, message.KindReleased, message.KindGroup:
 		return role == message.RoleSidecar
 	default:
 		return false
@@ -168,6 +175,9 @@
 	if e.Kind == link.Down {
 		p.streams.mailbox.Send(ctx, linkDown{link: e.Link})
 	}
+	if p.bookings != nil {
+		p.deliverBookings(ctx, e)
+	}
 	for _, m := range e.Messages {
 		switch m := m.(type) {
 		case *message.Offer, *message.Withdraw, *message.Cancel:
@@ -188,6 +198,9 @@
 	}
 	p.group.Go("run queue", p.queue.run)
 	p.group.Go("streams", p.streams.run)
+	if p.bookings != nil {
+		p.group.Go("bookings", p.bookings.run)
+	}
 	p.group.Go("link listener", func(ctx context.Context) error {
 		return operations.Serve(ctx, link.Listener(links, tlsConfig), link.Accept(ctx, p.config))
 	})
