--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -100,9 +100,10 @@
 	return c
 }
 
-// prefillDivisor is how many prompt tokens cost as much as one output token:
+// prefillDivisor is how many prompt tokens cost as much as one output token. An
+// engine that prefills 8,000 tokens a second and decodes 1,300 has about 6:
 // prefill handles a prompt's tokens in parallel, decoding makes them one by one.
-const prefillDivisor = 16
+const prefillDivisor = 6
 
 // EstimateCost returns the cost in tokens of a request with the given numbers
 // of prompt and output tokens.
