--- a/internal/decide/stream/stream_test.go
+++ b/internal/decide/stream/stream_test.go
@@ -55,7 +55,6 @@
 type model struct {
 	after, got uint64
 	credit     int64
-	ended      bool
 }
 
 // Guards against readers that get wrong pieces, more than their credit, or the
--- a/internal/load/policybench/engine.go
+++ b/internal/load/policybench/engine.go
@@ -26,7 +26,7 @@
 }
 
 // cost is the cost in tokens that admission counts.
-func (r *request) cost() int64 { return admission.EstimateCost(r.prompt, r.output) }
+func (q *request) cost() int64 { return admission.EstimateCost(q.prompt, q.output) }
 
 // server is one replica: its sidecar's queue and its engine.
 type server struct {
