--- a/internal/load/relaybench/measure.go
+++ b/internal/load/relaybench/measure.go
@@ -130,27 +130,26 @@
 }
 
 // sample returns the processor time that each process used within the window.
-func sample(p *path, w window) (entry, sidecar time.Duration, err error) {
+func sample(p *path, w window) (entry, sidecar times, err error) {
 	time.Sleep(time.Until(w.begin))
-	entryBefore, err := p.entryProcess.used()
+	entryBefore, sidecarBefore, err := p.used()
 	if err != nil {
-		return 0, 0, err
-	}
-	sidecarBefore, err := p.sidecarProcess.used()
-	if err != nil {
-		return 0, 0, err
+		return times{}, times{}, err
 	}
 	time.Sleep(time.Until(w.end))
+	entry, sidecar, err = p.used()
+	return entry.minus(entryBefore), sidecar.minus(sidecarBefore), err
+}
+
+func (p *path) used() (entry, sidecar times, err error) {
 	if entry, err = p.entryProcess.used(); err != nil {
-		return 0, 0, err
-	}
-	if sidecar, err = p.sidecarProcess.used(); err != nil {
-		return 0, 0, err
+		return times{}, times{}, err
 	}
-	return entry - entryBefore, sidecar - sidecarBefore, nil
+	sidecar, err = p.sidecarProcess.used()
+	return entry, sidecar, err
 }
 
-func report(o options, entry, sidecar time.Duration, results <-chan counted) error {
+func report(o options, entry, sidecar times, results <-chan counted) error {
 	var tokens int64
 	for range o.Streams {
 		c := <-results
@@ -163,7 +162,8 @@
 		return errors.New("no token was relayed")
 	}
 	perToken := func(d time.Duration) float64 { return float64(d.Microseconds()) / float64(tokens) }
-	fmt.Printf("relay: %d streams, %.0f tokens/s; processor time per token: entry %.2f µs, sidecar %.2f µs, together %.2f µs\n",
-		o.Streams, float64(tokens)/float64(o.Seconds), perToken(entry), perToken(sidecar), perToken(entry+sidecar))
+	fmt.Printf("relay: %d streams, %.0f tokens/s; processor time per token: entry %.2f µs, sidecar %.2f µs, together %.2f µs (kernel %.2f µs)\n",
+		o.Streams, float64(tokens)/float64(o.Seconds), perToken(entry.total()), perToken(sidecar.total()),
+		perToken(entry.total()+sidecar.total()), perToken(entry.system+sidecar.system))
 	return nil
 }
--- a/internal/load/relaybench/process.go
+++ b/internal/load/relaybench/process.go
@@ -106,22 +106,33 @@
 	_ = p.command.Wait()
 }
 
-// used returns the processor time, user and system, that the process used.
-func (p *process) used() (time.Duration, error) {
+// times are the processor times that a process used.
+type times struct{ user, system time.Duration }
+
+func (t times) total() time.Duration { return t.user + t.system }
+
+func (t times) minus(other times) times {
+	return times{user: t.user - other.user, system: t.system - other.system}
+}
+
+// used returns the processor time that the process has used.
+func (p *process) used() (times, error) {
 	data, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/stat")
 	if err != nil {
-		return 0, errors.Wrap(err, "processor time")
+		return times{}, errors.Wrap(err, "processor time")
 	}
-	// The second field is the name in parentheses; the times are the 12th and
-	// 13th after it.
+	// The second field is the name in parentheses; user and system time are the
+	// 12th and 13th after it.
 	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
-	var ticks int64
-	for _, n := range []int{11, 12} {
-		v, err := strconv.ParseInt(fields[n], 10, 64)
-		if err != nil {
-			return 0, errors.Wrap(err, "processor time")
-		}
-		ticks += v
+	user, err := ticks(fields[11])
+	if err != nil {
+		return times{}, err
 	}
-	return time.Duration(ticks) * time.Second / ticksPerSecond, nil
+	system, err := ticks(fields[12])
+	return times{user: user, system: system}, err
+}
+
+func ticks(text string) (time.Duration, error) {
+	v, err := strconv.ParseInt(text, 10, 64)
+	return time.Duration(v) * time.Second / ticksPerSecond, errors.Wrap(err, "processor time")
 }
