routing: score by occupancy and by what the entry knows exactly

The score divided by the reported rate, so a lightly loaded replica looked slow. Now free slots count, the best lately reported rate stands for the capacity, and the entry replaces its own part of a report by its own count.

--- a/internal/decide/routing/pick.go
+++ b/internal/decide/routing/pick.go
@@ -105,7 +105,7 @@
 
 // score is the estimated time in seconds until the request is served.
 func (r *Router) score(now time.Time, q Request, c candidate) float64 {
-	s := c.replica.wait(now, q.Class, q.Cost, r.config.DefaultRate)
+	s := c.replica.wait(now, q.Class, r.config.DefaultRate)
 	s += r.distance(c.replica.members[0]).Seconds()
 	if q.Prefix != 0 {
 		server, _ := c.replica.member()
--- a/internal/decide/routing/replica.go
+++ b/internal/decide/routing/replica.go
@@ -21,6 +21,12 @@
 	slowFactor = 3.0
 	// slowCalls is how many slow calls in the reduced state stop all work.
 	slowCalls = 5
+	// crowding is how much longer a first token takes with all slots in use than
+	// with none, without any queue.
+	crowding = 100 * time.Millisecond
+	// peakDecay forgets a replica's best rate slowly, report by report. A lightly
+	// loaded replica reports a low rate although it could do more.
+	peakDecay = 0.999
 	// firstTokenGain is the weight of one call in the smoothed first-token time.
 	firstTokenGain = 0.2
 	// reducedFactor multiplies the estimated wait of a replica that gets less.
@@ -46,8 +52,13 @@
 	// slow counts slow calls since the replica got less work.
 	slow    int
 	pending map[ident.RequestID]started
-	cost    int64
 	report  Report
+	// peak is the best rate that the replica reported lately.
+	peak float64
+	// ownRunning is how many requests of this entry the report contains, and
+	// sentSince the cost that it does not contain.
+	ownRunning int
+	sentSince  int64
 	// reported is when the state in the report was true.
 	reported time.Time
 	// firstToken is the smoothed first-token time in seconds.
@@ -83,41 +94,41 @@
 	return !p.life.In("trial") || len(p.pending) == 0
 }
 
-// wait estimates the time in seconds until new work of the cost is done: what
-// the replica reported, discounted by age, plus what this entry sent since.
-func (p *replica) wait(now time.Time, class ident.PriorityClass, cost int64, defaultRate float64) float64 {
-	rate := p.report.Rate
-	if rate <= 0 {
-		rate = defaultRate
+// wait estimates the time in seconds until new work starts: what the replica
+// reported, discounted by age, plus what this entry has there itself. The
+// entry's own part of the report is replaced by what it knows exactly.
+func (p *replica) wait(now time.Time, class ident.PriorityClass, defaultRate float64) float64 {
+	trust := p.trust(now)
+	foreign := max(0, float64(p.report.Running-p.ownRunning)) * trust
+	busy := foreign + float64(len(p.pending))
+	share := 1.0
+	if p.report.Slots > 0 {
+		share = min(1, busy/float64(p.report.Slots))
 	}
-	age := max(0, now.Sub(p.reported))
-	trust := math.Exp2(-age.Seconds() / reportHalfLife.Seconds())
-	backlog := trust * float64(p.ahead(class))
-	busy := trust * float64(p.report.Running)
-	for _, w := range p.pending {
-		if w.at.After(p.reported) {
-			backlog += float64(w.cost)
-			busy++
-		}
-	}
-	if p.report.Slots > 0 && busy < float64(p.report.Slots) {
-		// With a free slot only the sharing with the running requests counts.
-		backlog *= busy / float64(p.report.Slots)
+	seconds := crowding.Seconds() * share
+	if share == 1 {
+		// Only with all slots in use must new work wait for earlier work.
+		seconds += (trust*float64(p.ahead(class)) + float64(p.sentSince)) / max(p.peak, defaultRate)
 	}
-	seconds := (backlog + float64(cost)) / rate
 	switch {
 	case p.life.In("reduced"):
-		seconds *= reducedFactor
+		seconds = reducedFactor * (seconds + crowding.Seconds())
 	case p.life.In("trial"):
 		// A replica on trial must win sometimes, or it would never come back.
 		seconds = 0
 	}
 	if p.report.Impaired {
-		seconds *= impairedFactor
+		seconds = impairedFactor * (seconds + crowding.Seconds())
 	}
 	return seconds
 }
 
+// trust is the weight of the last report.
+func (p *replica) trust(now time.Time) float64 {
+	age := max(0, now.Sub(p.reported))
+	return math.Exp2(-age.Seconds() / reportHalfLife.Seconds())
+}
+
 // ahead is the reported queue that is at least as urgent as the class.
 func (p *replica) ahead(class ident.PriorityClass) int64 {
 	var sum int64
--- a/internal/decide/routing/router.go
+++ b/internal/decide/routing/router.go
@@ -103,11 +103,20 @@
 	p.report = m
 	p.reported = now.Add(-m.Age)
 	p.spent = [3]int64{}
+	p.peak = max(peakDecay*p.peak, m.Rate)
+	p.ownRunning, p.sentSince = 0, 0
+	for _, w := range p.pending {
+		if w.at.After(p.reported) {
+			p.sentSince += w.cost
+		} else {
+			p.ownRunning++
+		}
+	}
 }
 
 func (p *replica) start(now time.Time, request Request) {
 	p.pending[request.ID] = started{cost: request.Cost, at: now, class: request.Class}
-	p.cost += request.Cost
+	p.sentSince += request.Cost
 	p.spent[classIndex(request.Class)] += request.Cost
 }
 
@@ -117,7 +126,9 @@
 		return
 	}
 	delete(p.pending, m.Request)
-	p.cost -= work.cost
+	if work.at.After(p.reported) {
+		p.sentSince -= work.cost
+	}
 	switch {
 	case m.Failed:
 		p.life.Fire(now, "failed")
