admission: measure capacity only with all slots in use

The estimate took the first rates of a lightly loaded engine for its capacity, so credits were too small and requests waited at the entries.

--- a/internal/decide/admission/estimate.go
+++ b/internal/decide/admission/estimate.go
@@ -8,38 +8,36 @@
 )
 
 // capacity estimates the cost per second that the backend server gets done
-// when it has enough work. Rates measured without a backlog say nothing about
-// capacity, so they only ever raise the estimate.
+// when all its slots are in use. Rates measured with free slots say nothing
+// about capacity, so they only ever raise the estimate.
 type capacity struct {
 	finished meter
 	measured float64
+	// seen says that a rate was measured with all slots in use.
+	seen bool
 }
 
-// capacityGain is the weight of one measurement taken under backlog.
+// capacityGain is the weight of one measurement taken with all slots in use.
 const capacityGain = 0.05
 
-func (c *capacity) begin(now time.Time, running int) {
-	if running == 0 && c.finished.last.IsZero() {
-		c.finished.last = now
-	}
-}
-
-func (c *capacity) end(now time.Time, _ int, cost float64, backlogged bool) {
+func (c *capacity) end(now time.Time, cost float64, full bool) {
 	c.finished.add(now, cost)
 	rate := c.finished.rate(now)
 	switch {
 	case rate > c.measured:
 		c.measured = rate
-	case backlogged:
+	case full && c.seen:
 		c.measured += capacityGain * (rate - c.measured)
 	}
+	c.seen = c.seen || full && rate >= c.measured
 }
 
-// estimate returns cost per second, at least a tenth of the configured rate so
-// that a stall does not refuse everything for ever.
+// estimate returns cost per second: the configured rate or more until the
+// capacity has been measured, and at least a tenth of it afterwards, so that a
+// stall does not refuse everything for ever.
 func (c *capacity) estimate(config Config) float64 {
-	if c.measured == 0 {
-		return config.Rate
+	if !c.seen {
+		return max(c.measured, config.Rate)
 	}
 	return max(c.measured, config.Rate/10)
 }
--- a/internal/decide/admission/scheduler.go
+++ b/internal/decide/admission/scheduler.go
@@ -170,7 +170,6 @@
 	taken := w.fire(now, "dispatch")
 	invariant.Check(taken, "an attempt is dispatched once", "request %s attempt %d is %s", w.item.ID.Request, w.item.ID.Attempt, w.life.State())
 	w.begun = now
-	s.rate.begin(now, s.running)
 	s.running++
 	cost := float64(w.item.Cost)
 	s.lanes[w.lane].served.add(now, cost)
@@ -185,7 +184,7 @@
 		return
 	}
 	s.remember(w)
-	s.rate.end(now, s.running, float64(max(1, cost)), s.backlogged())
+	s.rate.end(now, float64(max(1, cost)), s.full())
 	s.running--
 	difference := max(1, cost) - w.item.Cost
 	s.lanes[w.lane].correct(w.item, difference)
--- a/internal/decide/admission/share.go
+++ b/internal/decide/admission/share.go
@@ -65,14 +65,12 @@
 	}
 }
 
-// backlogged reports whether any lane has waiting work.
-func (s *Scheduler) backlogged() bool {
-	for _, l := range s.lanes {
-		if l.items > 0 {
-			return true
-		}
+// full reports whether the backend server has as much work as it takes.
+func (s *Scheduler) full() bool {
+	if s.config.Slots <= 0 {
+		return s.Queued() > 0
 	}
-	return false
+	return s.running >= s.config.Slots-s.config.UrgentSlots
 }
 
 // late returns the lane's items whose deadline has passed.
