admission: let credits last until the next heartbeat

Credits covered only the allowed wait, so entries ran out of them between two heartbeats while slots were free. Missed now: in a flood of interactive, analytical gets 10.9% and batch 2.7% of their 20% and 10%, since urgent work always takes the slots kept for it.

--- a/internal/decide/admission/estimate.go
+++ b/internal/decide/admission/estimate.go
@@ -108,6 +108,10 @@
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
+// reportInterval is the time for which a credit must last: until the next
+// heartbeat.
+const reportInterval = time.Second
+
 // defaultWindow is the wait in each class's queue up to which entries get
 // credit when the configuration gives no bound.
 const defaultWindow = 2 * time.Second
@@ -123,7 +127,7 @@
 		if wait == 0 {
 			wait = defaultWindow
 		}
-		room := s.laneRate(now, lane)*wait.Seconds() - float64(s.lanes[lane].cost)
+		room := s.laneRate(now, lane)*(wait+reportInterval).Seconds() - float64(s.lanes[lane].cost)
 		window[n] = int64(max(0, room)) / int64(max(1, entries))
 	}
 	return window
