admission: let guarantees use all slots and bound them by their own size

In a flood of interactive, guaranteed classes never found the slots that are not kept for urgent work, and a lane that had been served well before the flood paid back 2 s of the whole capacity, 20 s of its guarantee. A lane that is owed work may use any slot, and its account is bounded by 2 s of its guarantee.

--- a/internal/decide/admission/lane.go
+++ b/internal/decide/admission/lane.go
@@ -59,6 +59,8 @@
 	// owed is the guaranteed cost that the lane has not been given yet, in
 	// tokens. It is negative while the lane is ahead of its guarantee.
 	owed float64
+	// largest is the cost of the largest item lately.
+	largest float64
 	// served is the recent rate of dispatched cost.
 	served meter
 }
--- a/internal/decide/admission/share.go
+++ b/internal/decide/admission/share.go
@@ -2,22 +2,29 @@
 
 import "time"
 
-// burst bounds, in seconds of the backend server's capacity, how far a lane's
-// account of its guarantee may run ahead or behind. It keeps a lane that has
-// been served well for a long time from losing its guarantee, and one that
-// could not be served from taking everything afterwards.
+// burst bounds, in seconds of a lane's guarantee, how far its account may run
+// ahead or behind. It keeps a lane that was served well for a long time from
+// losing its guarantee when a flood begins, and one that could not be served
+// from taking everything afterwards.
 const burst = 2.0
 
+// largestDecay forgets the largest item of a lane over some hundred items.
+const largestDecay = 0.99
+
 // choose returns the lane to serve: the one that is owed most of its guarantee,
-// or else the most urgent one with work.
+// or else the most urgent one with work. A guarantee may use the slots kept for
+// urgent work, because urgent work in a flood leaves no others.
 func (s *Scheduler) choose() (laneIndex, bool) {
+	if s.config.Slots > 0 && s.running >= s.config.Slots {
+		return 0, false
+	}
 	owed, urgent := laneIndex(-1), laneIndex(-1)
 	for n := laneIndex(0); n < laneCount; n++ {
 		l := s.lanes[n]
-		if l.items == 0 || !s.slotFor(n) {
+		if l.items == 0 {
 			continue
 		}
-		if urgent < 0 {
+		if urgent < 0 && s.slotFor(n) {
 			urgent = n
 		}
 		if l.owed > 0 && (owed < 0 || l.owed > s.lanes[owed].owed) {
@@ -45,13 +52,16 @@
 // settle books a dispatched cost: each lane earns its share of it, and the lane
 // that was served pays all of it.
 func (s *Scheduler) settle(served laneIndex, cost float64) {
-	limit := burst * s.rate.estimate(s.config)
+	rate := s.rate.estimate(s.config)
 	for n := laneIndex(0); n < laneCount; n++ {
 		l := s.lanes[n]
 		l.owed += l.share * cost
 		if n == served {
 			l.owed -= cost
+			l.largest = max(cost, largestDecay*l.largest)
 		}
+		// The bound leaves room for two items, or large items would be forgiven.
+		limit := max(burst*rate*l.share, 2*l.largest)
 		l.owed = min(max(l.owed, -limit), limit)
 		s.settleIdle(n)
 	}
--- a/internal/load/policybench/result.go
+++ b/internal/load/policybench/result.go
@@ -15,6 +15,9 @@
 	P50, P95         time.Duration
 	// Cost is the served cost, Demand the offered one, in tokens.
 	Cost, Demand int64
+	// Begun is the cost of all requests that got their first token after the
+	// warm-up, whenever they arrived.
+	Begun int64
 }
 
 // Result is the outcome of a run, without the warm-up.
@@ -50,14 +53,14 @@
 		if !q.done.IsZero() && q.done.After(start.Add(warmUp)) {
 			useful += q.cost()
 		}
+		if !q.first.IsZero() && q.first.After(start.Add(warmUp)) {
+			entryOf(res.Classes, q.name()).Begun += q.cost()
+		}
 		// Requests whose time was not over at the end of the run say nothing.
 		if q.arrived.Before(start.Add(warmUp)) || q.arrived.Add(q.load.Deadline).After(end) {
 			continue
 		}
-		name := q.load.Class
-		if q.load.Booking {
-			name = Bookings
-		}
+		name := q.name()
 		count(entryOf(res.Classes, name), q)
 		count(entryOf(res.Accounts, q.load.Account), q)
 		if name == ident.Interactive {
@@ -82,6 +85,14 @@
 	return res
 }
 
+// name is the class under which the request is counted.
+func (q *request) name() ident.PriorityClass {
+	if q.load.Booking {
+		return Bookings
+	}
+	return q.load.Class
+}
+
 func entryOf[K comparable](m map[K]*ClassResult, k K) *ClassResult {
 	if m[k] == nil {
 		m[k] = &ClassResult{}
@@ -102,16 +113,16 @@
 	}
 }
 
-// Share is the class's part of all served cost.
+// Share is the class's part of the cost that was begun after the warm-up.
 func (r Result) Share(class ident.PriorityClass) float64 {
 	total := int64(0)
 	for _, c := range r.Classes {
-		total += c.Cost
+		total += c.Begun
 	}
 	if r.Classes[class] == nil || total == 0 {
 		return 0
 	}
-	return float64(r.Classes[class].Cost) / float64(total)
+	return float64(r.Classes[class].Begun) / float64(total)
 }
 
 // WorstSmall is the least part of interactive requests within target of any
