routing: divide credits by account, refuse before work is late

A greedy account used up the credits of its class, so small accounts waited at the entries. Each account may now use its part. Queues admit half of the first-token target and entries hold work for a quarter of it, so that less is served late.

--- a/internal/decide/routing/replica.go
+++ b/internal/decide/routing/replica.go
@@ -43,6 +43,29 @@
 	class ident.PriorityClass
 }
 
+// spending is the use of the credit of one class.
+type spending struct {
+	total    int64
+	accounts map[ident.ClientAccount]int64
+}
+
+func (s *spending) add(account ident.ClientAccount, cost int64) {
+	if s.accounts == nil {
+		s.accounts = make(map[ident.ClientAccount]int64)
+	}
+	s.total += cost
+	s.accounts[account] += cost
+}
+
+// part is what each account may send even if others have used up the credit.
+func (s *spending) part(window int64, account ident.ClientAccount) int64 {
+	n := len(s.accounts)
+	if _, counted := s.accounts[account]; !counted {
+		n++
+	}
+	return window / int64(n)
+}
+
 // replica is a single server or a group, as this entry sees it.
 type replica struct {
 	name    string
@@ -63,8 +86,8 @@
 	reported time.Time
 	// firstToken is the smoothed first-token time in seconds.
 	firstToken float64
-	// spent is the cost sent by class since the credit in the report was given.
-	spent [3]int64
+	// spent is the cost sent since the credit in the report was given.
+	spent [3]spending
 	down  map[ident.ServerID]bool
 }
 
@@ -141,14 +164,20 @@
 	return sum
 }
 
-// credit reports whether the replica's sidecar lets this entry send the cost.
-// Work larger than the whole window may go when nothing else was sent.
-func (p *replica) credit(class ident.PriorityClass, cost int64) bool {
+// credit reports whether the replica's sidecar lets this entry send the request.
+// An account that has not used its part of the credit may send although others
+// have used up the whole: the sidecar's queue puts it first. Work larger than
+// the whole window may go when nothing else was sent.
+func (p *replica) credit(q Request) bool {
 	if !p.report.Credits {
 		return true
 	}
-	n := classIndex(class)
-	return p.spent[n] == 0 && p.report.Window[n] > 0 || p.spent[n]+cost <= p.report.Window[n]
+	n := classIndex(q.Class)
+	s, window := &p.spent[n], p.report.Window[n]
+	if s.total == 0 && window > 0 || s.total+q.Cost <= window {
+		return true
+	}
+	return s.accounts[q.Account]+q.Cost <= s.part(window, q.Account)
 }
 
 func (p *replica) observeFirstToken(after time.Duration) {
--- a/internal/decide/routing/router.go
+++ b/internal/decide/routing/router.go
@@ -102,7 +102,7 @@
 func (p *replica) takeReport(now time.Time, m Report) {
 	p.report = m
 	p.reported = now.Add(-m.Age)
-	p.spent = [3]int64{}
+	p.spent = [3]spending{}
 	p.peak = max(peakDecay*p.peak, m.Rate)
 	p.ownRunning, p.sentSince = 0, 0
 	for _, w := range p.pending {
@@ -117,7 +117,7 @@
 func (p *replica) start(now time.Time, request Request) {
 	p.pending[request.ID] = started{cost: request.Cost, at: now, class: request.Class}
 	p.sentSince += request.Cost
-	p.spent[classIndex(request.Class)] += request.Cost
+	p.spent[classIndex(request.Class)].add(request.Account, request.Cost)
 }
 
 func (p *replica) finish(now time.Time, m Ended) {
@@ -171,7 +171,7 @@
 		if p.members[0].Model != q.Model || !p.usable(now) || p.tried(q.Tried) {
 			continue
 		}
-		if p.credit(q.Class, q.Cost) {
+		if p.credit(q) {
 			fit = append(fit, p)
 		}
 	}
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -81,6 +81,8 @@
 	ID    ident.RequestID
 	Model ident.ModelName
 	Class ident.PriorityClass
+	// Account is the client account that pays.
+	Account ident.ClientAccount
 	// Cost is the estimate in tokens.
 	Cost int64
 	// Prefix is the hash of the prompt's prefix, zero without one, and
--- a/internal/load/policybench/doc.go
+++ b/internal/load/policybench/doc.go
@@ -32,6 +32,9 @@
 	entryRetry = 25 * time.Millisecond
 	// maxRefusals bounds the servers that are asked for one request.
 	maxRefusals = 4
+	// entryPart is the part of the first-token target, as a divisor, that a request
+	// may wait at an entry for credit.
+	entryPart = 4
 	// entryLimit bounds the requests of one class and account that wait at an
 	// entry for credit.
 	entryLimit = 16
--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -11,7 +11,7 @@
 
 func (q *request) query() routing.Request {
 	return routing.Request{
-		ID: q.id.Request, Model: "m", Class: q.load.Class, Cost: q.cost(),
+		ID: q.id.Request, Model: "m", Class: q.load.Class, Account: q.load.Account, Cost: q.cost(),
 		Prefix: q.prefix, PrefixTokens: q.load.PrefixTokens, Tried: q.tried,
 	}
 }
@@ -37,7 +37,7 @@
 
 // holdBack keeps a request at the entry for a while, unless too many wait.
 func (r *run) holdBack(q *request) {
-	late := !r.now.Before(q.arrived.Add(q.load.Deadline))
+	late := !r.now.Before(q.arrived.Add(q.load.Target / entryPart))
 	full := !q.waiting && r.waiting[q.key()] >= entryLimit
 	if late || full {
 		r.letGo(q)
--- a/internal/load/policybench/scenarios.go
+++ b/internal/load/policybench/scenarios.go
@@ -79,6 +79,10 @@
 	s.Name = "flood of " + string(class)
 	for a := range accounts {
 		s.Loads = append(s.Loads, load(a, class, 10.0/accounts, 10*time.Second))
+		if class == ident.Interactive {
+			// Enough analytical work to use the guarantee at any time.
+			s.Loads = append(s.Loads, load(a, ident.Analytical, 0.1/accounts, 10*time.Second))
+		}
 	}
 	return s
 }
@@ -130,7 +134,7 @@
 		Rate: capacity / replicas, MaxWait: make(map[ident.PriorityClass]time.Duration),
 	}
 	for class, s := range shapes() {
-		c.MaxWait[class] = s.target
+		c.MaxWait[class] = s.target / 2
 	}
 	return c
 }
