--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -390,6 +390,10 @@
 	Address     string
 	Incarnation ident.Incarnation
 	State       MemberState
+	// Observer is the process whose opinion this is. Sequence orders the opinions
+	// of one observer: microseconds since 1970 by its own clock.
+	Observer ident.InstanceID
+	Sequence uint64
 }
 
 // Members spreads changes of membership.
