--- a/internal/record/parse.go
+++ b/internal/record/parse.go
@@ -62,6 +62,20 @@
 	return message.Digest{Revision: revision, Hash: binary.BigEndian.Uint64(sum[:8])}
 }
 
+// Peek returns the digest of a value that may be invalid. The revision is 0 if
+// it cannot be read.
+func Peek(value []byte) message.Digest {
+	revision := uint64(0)
+	if tree, err := hujson.Parse(value); err == nil {
+		if m := member(&tree, "revision"); m != nil {
+			if literal, ok := m.Value.(hujson.Literal); ok && literal.Kind() == '0' {
+				revision = literal.Uint()
+			}
+		}
+	}
+	return DigestOf(ident.Revision(revision), value)
+}
+
 // bundle is the envelope of several records that say the same. A revision is
 // at most 2^43-1, since a fencing token adds 20 bits below it.
 type bundle struct {
