--- /dev/null
+++ b/internal/control/carry.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"github.com/anvilpoint/anvilpoint/internal/decide/membership"
+	"github.com/anvilpoint/anvilpoint/internal/decide/orders"
+	"github.com/anvilpoint/anvilpoint/internal/decide/spread"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+)
+
+func (n *Node) stepMembers(in membership.Message) {
+	changed := false
+	for _, a := range n.members.Step(n.now, in) {
+		switch a := a.(type) {
+		case membership.Send:
+			n.emit(Send{To: a.To, Message: &message.Members{Members: a.Members}})
+		case membership.Changed:
+			changed = true
+			n.emit(PeerChanged{a})
+		}
+	}
+	if changed {
+		n.stepSpread(spread.Alive{Entries: n.members.Alive()})
+	}
+}
+
+func (n *Node) stepSpread(in spread.Message) {
+	for _, a := range n.spread.Step(n.now, in) {
+		n.carryOut(a)
+	}
+}
+
+func (n *Node) carryOut(a spread.Action) {
+	switch a := a.(type) {
+	case spread.Adopt:
+		n.adopt(a)
+	case spread.Refuse:
+		n.emit(Refused(a))
+	case spread.Ignore:
+		n.emit(Ignored{Record: a.Record, Stale: n.value != nil && a.Record.Less(n.spread.InForce())})
+	case spread.Ready:
+		n.emit(Ready{})
+	case spread.SendRecord:
+		n.sendRecord(a)
+	case spread.SendDigest:
+		n.emit(Send{To: a.To, Message: &message.RecordDigest{Record: n.spread.InForce()}})
+	case spread.SendPull:
+		n.emit(Send{To: a.To, Message: &message.RecordPull{Have: a.Have}})
+	case spread.Read:
+		n.emit(Read{a})
+	case spread.CancelRead:
+		n.emit(CancelRead{})
+	}
+}
+
+func (n *Node) adopt(a spread.Adopt) {
+	before := n.snapshot
+	n.snapshot = n.candidate
+	n.config.History.Add(a.Record, n.value)
+	n.emit(InForce{Snapshot: n.snapshot, Before: before, From: a.From})
+	if n.orders == nil {
+		return
+	}
+	if desired, ok := orders.DesiredFor(before, n.snapshot, n.config.Server); ok {
+		n.stepOrders(desired)
+	}
+}
+
+// sendRecord adds the sets of replicas that the peer may not know: those of
+// records later than its base.
+func (n *Node) sendRecord(a spread.SendRecord) {
+	push, err := n.config.History.Push(a.Base)
+	if err != nil {
+		return
+	}
+	for _, l := range n.spread.Lineage() {
+		if l.Revision > push.Base.Revision {
+			push.Lineage = append(push.Lineage, l)
+		}
+	}
+	n.emit(Send{To: a.To, Message: &push})
+}
+
+func (n *Node) stepOrders(in orders.Message) {
+	if n.orders == nil {
+		return
+	}
+	for _, a := range n.orders.Step(n.now, in) {
+		switch a := a.(type) {
+		case orders.ReadBack:
+			n.emit(ReadBack{})
+		case orders.Order:
+			n.emit(Order{a})
+		case orders.Reached:
+			n.emit(Reached{Revision: a.Revision})
+		}
+	}
+}
+
+// Targets returns the entries to which an entry should hold links.
+func (n *Node) Targets(round uint64) []membership.Target { return n.members.Targets(round) }
+
+// Believes returns what this process believes of a peer.
+func (n *Node) Believes(id ident.InstanceID) string { return n.members.State(id) }
