pathtest: take ports below the range of outgoing connections

Cause: TestSameKeyThroughTwoEntries failed once with 'address already in use': its port came from the range from which the kernel takes the ports of outgoing connections, and one took it between the choice and the use. Change: addresses from 2000 to 7899, each handed out once a world.

--- a/internal/pathtest/world.go
+++ b/internal/pathtest/world.go
@@ -7,7 +7,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"time"
@@ -71,8 +70,9 @@
 
 // World is a set of processes over loopback.
 type World struct {
-	ctx      context.Context
-	platform *httptest.Server
+	ctx       context.Context
+	addresses *addressSource
+	platform  *httptest.Server
 	// Grace is the grace period of processes started from now on.
 	Grace    time.Duration
 	Network  network.Network
@@ -97,12 +97,13 @@
 	if c.Deadline == 0 {
 		c.Deadline = 10 * time.Second
 	}
-	addresses, err := freeAddresses(len(backends))
+	source := newAddressSource()
+	addresses, err := source.take(len(backends))
 	if err != nil {
 		return nil, nil, err
 	}
 	w := &World{
-		ctx: ctx, Grace: 5 * time.Second, Network: network.System{}, logger: c.Logger,
+		ctx: ctx, addresses: source, Grace: 5 * time.Second, Network: network.System{}, logger: c.Logger,
 		snapshot: newSnapshot(c, addresses),
 	}
 	value, err := w.record(1)
@@ -146,20 +147,6 @@
 	return record.Stamp(value, revision)
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(n int) ([]string, error) {
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "free address")
-		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, nil
-}
-
 func newSnapshot(c Config, addresses []string) *record.Snapshot {
 	s := &record.Snapshot{
 		Accounts: map[ident.ClientAccount]record.Account{"a": account("a", Key), "b": account("b", OtherKey)},
@@ -213,7 +200,7 @@
 // Settings returns the settings of a process with free addresses of its own. A
 // sidecar's link address is given.
 func (w *World) Settings(role message.Role, name, links string) (*settings.Settings, error) {
-	addresses, err := freeAddresses(3)
+	addresses, err := w.addresses.take(3)
 	if err != nil {
 		return nil, err
 	}
