--- a/internal/standin/dev/faults.go
+++ b/internal/standin/dev/faults.go
@@ -157,8 +157,9 @@
 		c.showInList(p)
 	case FaultPause:
 		c.fabric.Pause(ctx, p.name, true)
+		c.stallRank(p, true)
 	case FaultSlow:
-		c.setSpeed(p, &f)
+		c.setSpeed(p)
 	case FaultLeave:
 		c.setLeaving(p)
 	case FaultPartition:
@@ -181,8 +182,9 @@
 		c.showInList(p)
 	case FaultPause:
 		c.fabric.Pause(ctx, p.name, false)
+		c.stallRank(p, false)
 	case FaultSlow:
-		c.setSpeed(p, nil)
+		c.setSpeed(p)
 	case FaultLeave:
 		c.setLeaving(p)
 	case FaultPartition:
@@ -277,32 +279,64 @@
 	}
 }
 
-// setSpeed slows a process down, or ends that if the fault is nil.
-func (c *Cluster) setSpeed(p *process, f *Fault) {
-	factor, delay := 1.0, time.Duration(0)
-	if f != nil {
-		factor, delay = slowFactor, slowDelay
-		if f.Factor > 0 {
-			factor = f.Factor
+// setSpeed brings the speed of a process up to date with its faults.
+func (c *Cluster) setSpeed(p *process) {
+	f := c.slowFault(p)
+	if p.kind == kindEntry || p.kind == kindSidecar {
+		delay := time.Duration(0)
+		if f != nil {
+			delay = slowDelay
 		}
-		if f.DelayMS > 0 {
+		if f != nil && f.DelayMS > 0 {
 			delay = time.Duration(f.DelayMS) * time.Millisecond
 		}
-	}
-	if p.kind == kindEntry || p.kind == kindSidecar {
 		c.fabric.Slow(c.lifetime, p.name, delay)
 		return
 	}
-	if p.control != nil && p.life.In("up") {
-		c.report(p.control.Slow(c.lifetime, factor))
+	factor := 1.0
+	if f != nil {
+		factor = f.factor()
+	}
+	c.slowRank(p, factor)
+	for _, other := range c.inStepWith(p) {
+		if other.control != nil && other.life.In("up") {
+			c.report(other.control.Slow(c.lifetime, c.slowest(other)))
+		}
 	}
 }
 
+// slowFault returns the fault that slows a process, nil if there is none.
+func (c *Cluster) slowFault(p *process) *Fault {
+	if a := c.faults[(Fault{Kind: FaultSlow, Target: p.name}).key()]; a != nil {
+		return &a.Fault
+	}
+	return nil
+}
+
+// factor is by how much a slow backend server is slower.
+func (f *Fault) factor() float64 {
+	if f.Factor > 0 {
+		return f.Factor
+	}
+	return slowFactor
+}
+
+// slowest is by how much a backend server is slower than normal. All ranks of a
+// group are as slow as the slowest, because they run in lock-step.
+func (c *Cluster) slowest(p *process) float64 {
+	factor := 1.0
+	for _, other := range c.inStepWith(p) {
+		if f := c.slowFault(other); f != nil {
+			factor = max(factor, f.factor())
+		}
+	}
+	return factor
+}
+
 // reapply makes the lasting faults of a backend server take effect on a new run.
 func (c *Cluster) reapply(p *process) {
-	if f := c.faults[(Fault{Kind: FaultSlow, Target: p.name}).key()]; f != nil {
-		c.setSpeed(p, &f.Fault)
-	}
+	c.setSpeed(p)
+	c.stallRank(p, c.has(FaultPause, p.name))
 	if c.isLeaving(p) {
 		c.setLeaving(p)
 	}
--- a/internal/standin/dev/groups.go
+++ b/internal/standin/dev/groups.go
@@ -1,7 +1,6 @@
 package dev
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -11,7 +10,6 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/record"
-	"github.com/anvilpoint/anvilpoint/internal/standin/engine"
 	"github.com/anvilpoint/anvilpoint/internal/standin/group"
 	"github.com/anvilpoint/anvilpoint/task"
 )
@@ -68,18 +66,39 @@
 	return func() { m.group.Crash(c.lifetime, m.rank) }
 }
 
-// groupedEngine passes faults of an engine on to its rank.
-type groupedEngine struct {
-	*engine.Engine
-	member member
+// stallRank stops the rank of a paused engine from entering steps.
+func (c *Cluster) stallRank(p *process, stalled bool) {
+	if m, ok := c.memberOf(p); ok {
+		m.group.Stall(c.lifetime, m.rank, stalled)
+	}
 }
 
-// Slow implements control.
-func (e groupedEngine) Slow(ctx context.Context, factor float64) error {
-	if e.member.group != nil && factor > 0 {
-		e.member.group.SetSpeed(ctx, e.member.rank, 1/factor)
+// slowRank sets the speed of an engine's rank.
+func (c *Cluster) slowRank(p *process, factor float64) {
+	if m, ok := c.memberOf(p); ok {
+		m.group.SetSpeed(c.lifetime, m.rank, 1/factor)
+	}
+}
+
+func (c *Cluster) memberOf(p *process) (member, bool) {
+	m, ok := c.members[ident.ServerID(p.name)]
+	return m, ok
+}
+
+// inStepWith lists the processes that run in lock-step with the process, itself
+// included.
+func (c *Cluster) inStepWith(p *process) []*process {
+	m, ok := c.memberOf(p)
+	if !ok {
+		return []*process{p}
+	}
+	var list []*process
+	for _, other := range c.all {
+		if o, ok := c.memberOf(other); ok && o.group == m.group {
+			list = append(list, other)
+		}
 	}
-	return e.Engine.Slow(ctx, factor)
+	return list
 }
 
 func (c *Cluster) startGroups(g *task.Group) {
--- a/internal/standin/dev/product_test.go
+++ b/internal/standin/dev/product_test.go
@@ -17,6 +17,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/sidecar"
 	"github.com/anvilpoint/anvilpoint/internal/standin/answer"
 	"github.com/anvilpoint/anvilpoint/internal/standin/dev"
+	"github.com/anvilpoint/anvilpoint/internal/standin/group"
 	"github.com/anvilpoint/anvilpoint/internal/standin/service"
 )
 
@@ -168,3 +169,27 @@
 		must.Eq(t, want, streamText(t, got.body))
 	}
 }
+
+// Guards against a group that the dev command does not run in lock-step, that
+// does not form again after a rank crashed, or that ran a step with two maps.
+func TestProductGroupFormsAgain(t *testing.T) {
+	c := startProduct(t)
+	steps := func() uint64 {
+		_, text := call(t, http.MethodGet, c.Admin()+"/truth/steps", "")
+		var truth group.Truth
+		must.NoError(t, json.Unmarshal([]byte(text), &truth))
+		must.SliceEmpty(t, truth.TwoMaps)
+		return truth.Steps
+	}
+	awaitSteps := func(least uint64) {
+		for steps() < least {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	awaitSteps(5)
+	fault(t, c, dev.Fault{Target: "replica-1", Kind: "crash"})
+	await(t, c, "replica-1", "crashed")
+	halted := steps()
+	fault(t, c, dev.Fault{Target: "replica-1", Kind: "heal"})
+	awaitSteps(halted + 5)
+}
--- a/internal/standin/dev/programs.go
+++ b/internal/standin/dev/programs.go
@@ -101,7 +101,7 @@
 		o.Group = c.groupHandler(s.id)
 		e := engine.New(o)
 		defer c.joinGroup(s.id)()
-		return c.runBackend(ctx, l, p, groupedEngine{Engine: e, member: c.members[s.id]}, func(g *task.Group) error {
+		return c.runBackend(ctx, l, p, e, func(g *task.Group) error {
 			listener, err := p.network.Listen(ctx, p.address)
 			if err != nil {
 				return err
--- a/internal/standin/dev/requests.go
+++ b/internal/standin/dev/requests.go
@@ -123,8 +123,8 @@
 func (a *askEngines) serve(c *Cluster, _ time.Time) error {
 	var list []*engine.Engine
 	for _, p := range c.all {
-		if e, ok := p.control.(groupedEngine); ok && p.life.In("up") {
-			list = append(list, e.Engine)
+		if e, ok := p.control.(*engine.Engine); ok && p.life.In("up") {
+			list = append(list, e)
 		}
 	}
 	a.reply <- list
