routing: count the prompts that this entry has under way

Requests with prompts under way delay the next first token by a whole step, which the occupancy of a replica hides. The entry knows its own exactly.

--- a/internal/decide/routing/pick.go
+++ b/internal/decide/routing/pick.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
@@ -83,11 +84,12 @@
 // replica.
 func (r *Router) candidates(q Request, fit []*replica) []candidate {
 	var list []candidate
-	first := r.random.IntN(len(fit))
-	list = append(list, candidate{replica: fit[first]})
-	if len(fit) > 1 {
-		second := (first + 1 + r.random.IntN(len(fit)-1)) % len(fit)
-		list = append(list, candidate{replica: fit[second]})
+	// A partial shuffle draws without repeating.
+	draw := slices.Clone(fit)
+	for n := range min(randomChoices, len(draw)) {
+		k := n + r.random.IntN(len(draw)-n)
+		draw[n], draw[k] = draw[k], draw[n]
+		list = append(list, candidate{replica: draw[n]})
 	}
 	for _, p := range fit {
 		if p.life.In("trial") && len(list) < randomChoices+1 {
@@ -106,6 +108,7 @@
 // score is the estimated time in seconds until the request is served.
 func (r *Router) score(now time.Time, q Request, c candidate) float64 {
 	s := c.replica.wait(now, q.Class, r.config.DefaultRate)
+	s += float64(c.replica.prompts) / r.config.PrefillRate
 	s += r.distance(c.replica.members[0]).Seconds()
 	if q.Prefix != 0 {
 		server, _ := c.replica.member()
--- a/internal/decide/routing/replica.go
+++ b/internal/decide/routing/replica.go
@@ -41,6 +41,8 @@
 	// at tells requests that a report already contains from later ones.
 	at    time.Time
 	class ident.PriorityClass
+	// prompt is the length of the prompt until the first token has come.
+	prompt int64
 }
 
 // spending is the use of the credit of one class.
@@ -82,6 +84,9 @@
 	// sentSince the cost that it does not contain.
 	ownRunning int
 	sentSince  int64
+	// prompts are the prompt tokens of this entry's requests that have no first
+	// token yet.
+	prompts int64
 	// reported is when the state in the report was true.
 	reported time.Time
 	// firstToken is the smoothed first-token time in seconds.
--- a/internal/decide/routing/router.go
+++ b/internal/decide/routing/router.go
@@ -42,7 +42,7 @@
 		r.on(m.Server, func(p *replica) { p.start(now, m.Request) })
 		r.hints.sent(now, m.Server, m.Request.Prefix)
 	case FirstToken:
-		r.on(m.Server, func(p *replica) { r.firstToken(now, p, m.After) })
+		r.on(m.Server, func(p *replica) { r.firstToken(now, p, m) })
 	case Ended:
 		r.on(m.Server, func(p *replica) { p.finish(now, m) })
 	case Stalled:
@@ -115,7 +115,8 @@
 }
 
 func (p *replica) start(now time.Time, request Request) {
-	p.pending[request.ID] = started{cost: request.Cost, at: now, class: request.Class}
+	p.pending[request.ID] = started{cost: request.Cost, at: now, class: request.Class, prompt: request.PromptTokens}
+	p.prompts += request.PromptTokens
 	p.sentSince += request.Cost
 	p.spent[classIndex(request.Class)].add(request.Account, request.Cost)
 }
@@ -126,6 +127,7 @@
 		return
 	}
 	delete(p.pending, m.Request)
+	p.prompts -= work.prompt
 	if work.at.After(p.reported) {
 		p.sentSince -= work.cost
 	}
@@ -149,8 +151,13 @@
 }
 
 // firstToken compares a replica with the mean over all replicas.
-func (r *Router) firstToken(now time.Time, p *replica, after time.Duration) {
-	p.observeFirstToken(after)
+func (r *Router) firstToken(now time.Time, p *replica, m FirstToken) {
+	if work, known := p.pending[m.Request]; known {
+		p.prompts -= work.prompt
+		work.prompt = 0
+		p.pending[m.Request] = work
+	}
+	p.observeFirstToken(m.After)
 	sum, n := 0.0, 0
 	for _, other := range r.replicas {
 		if other != p && other.firstToken > 0 {
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -85,6 +85,8 @@
 	Account ident.ClientAccount
 	// Cost is the estimate in tokens.
 	Cost int64
+	// PromptTokens is the estimated length of the prompt.
+	PromptTokens int64
 	// Prefix is the hash of the prompt's prefix, zero without one, and
 	// PrefixTokens its length.
 	Prefix       uint64
--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -11,7 +11,7 @@
 
 func (q *request) query() routing.Request {
 	return routing.Request{
-		ID: q.id.Request, Model: "m", Class: q.load.Class, Account: q.load.Account, Cost: q.cost(),
+		ID: q.id.Request, Model: "m", Class: q.load.Class, Account: q.load.Account, Cost: q.cost(), PromptTokens: q.prompt,
 		Prefix: q.prefix, PrefixTokens: q.load.PrefixTokens, Tried: q.tried,
 	}
 }
