admission, routing: pass urgent work on to a replica with a free slot

In a flood of batch, 28% of the interactive requests found both slots kept for urgent work in use and waited for a slot. An urgent request is now refused at once by a replica without a free slot, and goes to another one, at most twice. An entry that is told so more than half of the time queues at once again, since then slots are scarce everywhere.

--- /dev/null
+++ b/internal/decide/routing/patience.go
@@ -0,0 +1,40 @@
+package routing
+
+import "github.com/anvilpoint/anvilpoint/internal/ident"
+
+const (
+	// impatientTries is how many replicas an urgent request may find without a
+	// free slot before it queues.
+	impatientTries = 2
+	// busyLimit is the share of impatient requests found no free slot above which
+	// requests queue at once: then slots are scarce everywhere, and work that is
+	// sent on would only lose its place to less urgent work.
+	busyLimit = 0.5
+	// busyGain is the weight of one answer in that share.
+	busyGain = 0.05
+	// probeShare of the requests stay impatient, to notice when slots are free.
+	probeShare = 0.05
+)
+
+// Answered says how a replica answered an impatient request: whether it had a
+// free slot.
+type Answered struct{ Busy bool }
+
+func (Answered) routing() {}
+
+// Impatient reports whether a request should be refused by a replica without a
+// free slot, so that another replica gets it. Only urgent requests are.
+func (r *Router) Impatient(q Request) bool {
+	if r.config.Baseline != "" || q.Class != ident.Interactive || len(q.Tried) >= impatientTries {
+		return false
+	}
+	return r.busy <= busyLimit || r.random.Float64() < probeShare
+}
+
+func (r *Router) answered(m Answered) {
+	value := 0.0
+	if m.Busy {
+		value = 1
+	}
+	r.busy += busyGain * (value - r.busy)
+}
--- a/internal/decide/routing/router.go
+++ b/internal/decide/routing/router.go
@@ -18,6 +18,8 @@
 	hints    hints
 	random   *rand.Rand
 	turn     int
+	// busy is the recent share of impatient requests that found no free slot.
+	busy float64
 }
 
 // New returns a router without servers.
@@ -53,6 +55,8 @@
 		r.on(m.Server, func(p *replica) { p.setLink(now, m) })
 	case CacheEvent:
 		r.hints.event(now, m)
+	case Answered:
+		r.answered(m)
 	}
 }
 
--- a/internal/load/policybench/engine.go
+++ b/internal/load/policybench/engine.go
@@ -23,6 +23,7 @@
 	refused         bool
 	hit             bool
 	waiting         bool
+	impatient       bool
 }
 
 // cost is the cost in tokens that admission counts.
--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -5,6 +5,7 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/admission"
 	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
 )
 
 func (q *request) key() entryKey { return entryKey{q.entry, q.load.Class, q.load.Account} }
@@ -31,6 +32,7 @@
 		return
 	}
 	r.letGo(q)
+	q.impatient = !r.policy.FCFS && !q.load.Booking && router.Impatient(query)
 	router.Step(r.now, routing.Started{Server: id, Request: query})
 	r.after(hop, func() { r.arrive(r.byID[id], q) })
 }
@@ -63,20 +65,23 @@
 	r.controlBytes += answerBytes
 	d := s.queue.Offer(r.now, admission.Item{
 		ID: q.id, Account: q.load.Account, Weight: q.load.Weight, Class: q.load.Class, Booking: q.load.Booking,
-		Cost: q.cost(), Deadline: q.arrived.Add(q.load.Deadline),
+		Impatient: q.impatient, Cost: q.cost(), Deadline: q.arrived.Add(q.load.Deadline),
 	})
 	for _, x := range d.Displaced {
 		r.refuse(s, r.byItem[x.ID], false)
 	}
 	if !d.Queued {
-		r.refuse(s, q, false)
+		r.refuse(s, q, d.Reason == outcome.ReasonBusy)
 		return
 	}
+	if q.impatient {
+		r.after(hop, func() { r.routers[q.entry].Step(r.now, routing.Answered{}) })
+	}
 	r.fill(s)
 }
 
 // refuse tells the entry, which asks another replica.
-func (r *run) refuse(s *server, q *request, final bool) {
+func (r *run) refuse(s *server, q *request, busy bool) {
 	if r.policy.Global {
 		q.refused = true
 		return
@@ -86,7 +91,10 @@
 		q.tried = append(q.tried, s.id)
 		q.id.Attempt++
 		r.byItem[q.id] = q
-		if final || len(q.tried) >= maxRefusals {
+		if busy {
+			r.routers[q.entry].Step(r.now, routing.Answered{Busy: true})
+		}
+		if len(q.tried) >= maxRefusals {
 			q.refused = true
 			return
 		}
--- a/internal/load/policybench/run.go
+++ b/internal/load/policybench/run.go
@@ -204,6 +204,6 @@
 
 func (r *run) expireAt(s *server) {
 	for _, i := range s.queue.Expire(r.now) {
-		r.refuse(s, r.byItem[i.ID], true)
+		r.refuse(s, r.byItem[i.ID], false)
 	}
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -26,6 +26,7 @@
 	ReasonMalformed        Reason = "malformed"
 	ReasonTooLarge         Reason = "too-large"
 	ReasonQueueFull        Reason = "queue-full"
+	ReasonBusy             Reason = "no-free-slot"
 	ReasonAccountShare     Reason = "account-over-share"
 	ReasonDeadline         Reason = "deadline"
 	ReasonDraining         Reason = "draining"
