admission: estimate the wait by the order of fair queueing

The estimate took the lesser of the lane's and the account's backlog, which let every account put one item into a queue that was already too long. It now sums the work with an earlier start tag.

--- a/internal/decide/admission/estimate.go
+++ b/internal/decide/admission/estimate.go
@@ -60,17 +60,11 @@
 	return max(total-taken, s.lanes[n].share*total, total/100)
 }
 
-// wait estimates how long the item would queue: its account's own backlog at
-// the account's fair rate, or the whole lane's backlog if that is less.
+// wait estimates how long the item would queue: until the work that fair
+// queueing puts before it is done.
 func (s *Scheduler) wait(now time.Time, w *work) time.Duration {
 	l := s.lanes[w.lane]
-	rate := s.laneRate(now, w.lane)
-	whole := float64(l.cost) / rate
-	var own float64
-	if a := l.accounts[w.item.Account]; a != nil {
-		own = float64(a.cost) * l.weights(w.item) / (w.item.Weight * rate)
-	}
-	return time.Duration(min(whole, own) * float64(time.Second))
+	return time.Duration(l.before(w.item) / s.laneRate(now, w.lane) * float64(time.Second))
 }
 
 // refuse applies the early refusals: a deadline that cannot be met, and a queue
--- a/internal/decide/admission/lane.go
+++ b/internal/decide/admission/lane.go
@@ -165,6 +165,24 @@
 
 func (a *account) load() float64 { return float64(a.cost) / a.weight }
 
+// before is the waiting cost with an earlier start tag than the item would get.
+func (l *lane) before(item Item) float64 {
+	start := l.virtual
+	if a := l.accounts[item.Account]; a != nil {
+		start = max(start, a.finish)
+		if len(a.queue) > 0 {
+			start = a.start + a.load()
+		}
+	}
+	sum := 0.0
+	for _, a := range l.active {
+		if start > a.start {
+			sum += min(float64(a.cost), (start-a.start)*a.weight)
+		}
+	}
+	return sum
+}
+
 // weights is the sum over the accounts that wait, with the given one included.
 func (l *lane) weights(item Item) float64 {
 	sum := item.Weight
