routing, sidecar: let each account send one request, queue for less time

A small account's part of a credit was less than one request, and work that queued for half of the target was late after its prefill. One request of each account may go; queues admit a quarter of the target and entries hold an eighth.

--- a/internal/decide/routing/replica.go
+++ b/internal/decide/routing/replica.go
@@ -171,8 +171,8 @@
 
 // credit reports whether the replica's sidecar lets this entry send the request.
 // An account that has not used its part of the credit may send although others
-// have used up the whole: the sidecar's queue puts it first. Work larger than
-// the whole window may go when nothing else was sent.
+// have used up the whole: the sidecar's queue puts it first. One request of
+// each account may go in any case, however large it is.
 func (p *replica) credit(q Request) bool {
 	if !p.report.Credits {
 		return true
@@ -182,7 +182,8 @@
 	if s.total == 0 && window > 0 || s.total+q.Cost <= window {
 		return true
 	}
-	return s.accounts[q.Account]+q.Cost <= s.part(window, q.Account)
+	spent := s.accounts[q.Account]
+	return spent == 0 || spent+q.Cost <= s.part(window, q.Account)
 }
 
 func (p *replica) observeFirstToken(after time.Duration) {
--- a/internal/load/policybench/doc.go
+++ b/internal/load/policybench/doc.go
@@ -34,7 +34,7 @@
 	maxRefusals = 4
 	// entryPart is the part of the first-token target, as a divisor, that a request
 	// may wait at an entry for credit.
-	entryPart = 4
+	entryPart = 8
 	// entryLimit bounds the requests of one class and account that wait at an
 	// entry for credit.
 	entryLimit = 16
--- a/internal/load/policybench/scenarios.go
+++ b/internal/load/policybench/scenarios.go
@@ -134,7 +134,7 @@
 		Rate: capacity / replicas, MaxWait: make(map[ident.PriorityClass]time.Duration),
 	}
 	for class, s := range shapes() {
-		c.MaxWait[class] = s.target / 2
+		c.MaxWait[class] = s.target / 4
 	}
 	return c
 }
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -52,7 +52,7 @@
 	f.config.MaxWait = make(map[ident.PriorityClass]time.Duration)
 	for name, class := range s.Classes {
 		f.config.Shares[name] = class.Share
-		f.config.MaxWait[name] = class.FirstTokenTarget / 2
+		f.config.MaxWait[name] = class.FirstTokenTarget / 4
 	}
 	f.scheduler.Configure(f.config)
 }
