link: shorten the remaining time of offers by the delay of their frames

A sidecar that was paused finds offers in its socket that are older than they look, and could start them after their deadline.

--- a/internal/link/read.go
+++ b/internal/link/read.go
@@ -41,6 +41,7 @@
 	messages := make([]message.Message, 0, len(in.envelopes))
 	for _, envelope := range in.envelopes {
 		r.config.Clock.Observe(envelope.Stamp)
+		age(envelope.Message, r.delay.observe(now, envelope.Stamp.Wall()))
 		if !r.admit(ctx, now, envelope.Message) {
 			break
 		}
--- a/internal/link/run.go
+++ b/internal/link/run.go
@@ -39,6 +39,7 @@
 	inbound  *task.Mailbox[inbound]
 	beat     message.Heartbeat
 	heard    time.Time
+	delay    delayGauge
 	deliver  context.Context
 	frame    []byte
 	isClosed end
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -26,6 +26,8 @@
 	fromLink struct {
 		link    *link.Link
 		message message.Message
+		// at is when the frame arrived.
+		at time.Time
 	}
 	// callEnded says that a call no longer uses the backend server.
 	callEnded struct {
@@ -113,7 +115,7 @@
 func (q *queue) step(now time.Time, m queueMessage) {
 	switch m := m.(type) {
 	case fromLink:
-		q.frame(now, m.link, m.message)
+		q.frame(now, m)
 	case callEnded:
 		q.ended(now, m)
 	case setSlots:
@@ -125,10 +127,11 @@
 	}
 }
 
-func (q *queue) frame(now time.Time, l *link.Link, m message.Message) {
-	switch m := m.(type) {
+func (q *queue) frame(now time.Time, f fromLink) {
+	l := f.link
+	switch m := f.message.(type) {
 	case *message.Offer:
-		q.offer(now, l, m)
+		q.offer(now, f.at, l, m)
 	case *message.Withdraw:
 		q.withdraw(now, l, execution.Key{Request: m.Request, Attempt: m.Attempt})
 	case *message.Cancel:
@@ -136,9 +139,9 @@
 	}
 }
 
-func (q *queue) offer(now time.Time, l *link.Link, m *message.Offer) {
+func (q *queue) offer(now, arrived time.Time, l *link.Link, m *message.Offer) {
 	key := execution.Key{Request: m.Request, Attempt: m.Attempt}
-	deadline := now.Add(time.Duration(m.RemainingMS) * time.Millisecond)
+	deadline := arrived.Add(time.Duration(m.RemainingMS) * time.Millisecond)
 	switch q.ledger.Arrive(now, key, deadline) {
 	case execution.Known:
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -168,10 +168,11 @@
 	if e.Kind == link.Down {
 		p.streams.mailbox.Send(ctx, linkDown{link: e.Link})
 	}
+	now := time.Now()
 	for _, m := range e.Messages {
 		switch m := m.(type) {
 		case *message.Offer, *message.Withdraw, *message.Cancel:
-			p.queue.mailbox.Send(ctx, fromLink{link: e.Link, message: m})
+			p.queue.mailbox.Send(ctx, fromLink{link: e.Link, message: m, at: now})
 		case *message.Credit:
 			p.streams.mailbox.Send(ctx, creditFrame{link: e.Link, credit: m})
 		case *message.Attach:
