--- a/internal/standin/dev/cluster.go
+++ b/internal/standin/dev/cluster.go
@@ -11,10 +11,12 @@
 	"github.com/anvilpoint/anvilpoint/chart"
 	"github.com/anvilpoint/anvilpoint/internal/charts"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/network"
 	"github.com/anvilpoint/anvilpoint/internal/standin"
 	"github.com/anvilpoint/anvilpoint/internal/standin/config"
 	"github.com/anvilpoint/anvilpoint/internal/standin/faulty"
+	"github.com/anvilpoint/anvilpoint/internal/standin/group"
 	"github.com/anvilpoint/anvilpoint/internal/standin/instances"
 	"github.com/anvilpoint/anvilpoint/internal/standin/service"
 	"github.com/anvilpoint/anvilpoint/internal/standin/weights"
@@ -23,10 +25,10 @@
 
 const mailboxCapacity = 1024
 
-// keysMargin is the time between the start of the processes and the time that
-// the demo record states for unused idempotency keys. No caller is served before
-// that time, so the statement is true, and every process has started before it,
-// so opaque keys are accepted at once.
+// keysMargin is the time between the first publish and the time that the demo
+// record states for unused idempotency keys. The processes start in between, so
+// they accept opaque keys at once. The statement is true for a caller that waits
+// until the installation is ready.
 const keysMargin = time.Second
 
 // ErrStopped means that the installation's task has ended.
@@ -51,6 +53,9 @@
 	list      *instances.List
 	weights   *weights.Store
 	ledger    *service.Ledger
+	// groups are the expert-parallel groups, and members their ranks by server.
+	groups  []*group.Group
+	members map[ident.ServerID]member
 
 	all       []*process
 	byName    map[string]*process
@@ -84,6 +89,7 @@
 	if o.Events != nil {
 		c.events = eventlog.NewWriter(o.Events)
 	}
+	c.addGroups()
 	c.addProcesses()
 	c.list = instances.New(o.InstanceLag, c.listed())
 	return c, c.bind()
@@ -144,6 +150,17 @@
 	defer c.mailbox.Close()
 	standins := c.startStandins(lifetime)
 	c.processes = task.NewGroup(lifetime)
+	c.keysValid = time.Now().Add(keysMargin)
+	err := c.publishFirst()
+	if err == nil {
+		c.launchAll()
+		err = c.serve(ctx)
+		c.stopAll()
+	}
+	return firstError(err, c.processes.Stop(c.options.Grace), standins.Stop(0))
+}
+
+func (c *Cluster) launchAll() {
 	machine := chart.MustBind(charts.Must("standin-process"), chart.Binding[*process]{
 		Actions: map[string]func(*process){
 			"launch": (*process).launch, "kill": (*process).terminate, "drain": (*process).drain,
@@ -153,13 +170,6 @@
 	for _, p := range c.all {
 		p.life = machine.New(time.Now(), p)
 	}
-	c.keysValid = time.Now().Add(keysMargin)
-	err := c.publishFirst()
-	if err == nil {
-		err = c.serve(ctx)
-	}
-	c.stopAll()
-	return firstError(err, c.processes.Stop(c.options.Grace), standins.Stop(0))
 }
 
 func firstError(list ...error) error {
@@ -178,6 +188,7 @@
 	g.Go("instance list", c.list.Run)
 	g.Go("weight store", c.weights.Run)
 	g.Go("ledger", c.ledger.Run)
+	c.startGroups(g)
 	if c.events != nil {
 		g.Go("events", c.events.Run)
 	}
