pathtest: read the tokens before the sidecar is killed

The test killed the sidecar after the first token and expected the nine that the engine had produced to have arrived; since links gather tokens for up to 2 ms, fewer may have. It now reads and checks the nine first, which is stricter. A failed assertion hung in the engine's Close, which now breaks its connections.

--- a/internal/pathtest/engine.go
+++ b/internal/pathtest/engine.go
@@ -79,6 +79,13 @@
 	return e
 }
 
+// Close breaks the engine's connections and stops it. A test that fails while a
+// call is held does not wait for the call.
+func (e *Engine) Close() {
+	e.CloseClientConnections()
+	e.Server.Close()
+}
+
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	leaving := e.behavior.Leaving != nil && e.behavior.Leaving()
 	_ = json.NewEncoder(w).Encode(loadReport{Slots: e.behavior.Slots, Leaving: leaving})
--- a/internal/pathtest/faults_test.go
+++ b/internal/pathtest/faults_test.go
@@ -58,13 +58,20 @@
 	f.start(1)
 	r := f.complete(0, true)
 	first := serverOf(r)
+	// The position to resume at is known once the caller has these tokens.
+	events := pathtest.NewEvents(r.Body)
+	for n := 1; n <= 9; n++ {
+		e, ok := events.Next()
+		must.True(t, ok)
+		must.Eq(t, pathtest.Event(n, 30, ""), e.Data)
+	}
 	f.sidecars[first].Kill()
 	must.NoError(t, <-f.sidecars[first].Done)
 	<-one.Calls
 	second := <-one.Calls
 	must.Eq(t, 9, second.Resume)
 	close(hold)
-	last, whole := readStream(t, r.Body, 0, 30)
+	last, whole := readEvents(t, events, 9, 30)
 	must.Eq(t, 30, last)
 	must.True(t, whole)
 }
--- a/internal/pathtest/path_test.go
+++ b/internal/pathtest/path_test.go
@@ -83,7 +83,11 @@
 // last sequence and whether the stream ended whole.
 func readStream(t *testing.T, body io.Reader, after, tokens int) (last int, whole bool) {
 	t.Helper()
-	events := pathtest.NewEvents(body)
+	return readEvents(t, pathtest.NewEvents(body), after, tokens)
+}
+
+func readEvents(t *testing.T, events *pathtest.Events, after, tokens int) (last int, whole bool) {
+	t.Helper()
 	last = after
 	for {
 		e, ok := events.Next()
