--- a/internal/link/run.go
+++ b/internal/link/run.go
@@ -39,6 +39,7 @@
 	inbound  *task.Mailbox[inbound]
 	beat     message.Heartbeat
 	heard    time.Time
+	delay    delayGauge
 	role     message.Role
 	deliver  context.Context
 	frame    []byte
