admission: count tied work in the wait and end busy periods

Accounts with equal start tags each put an item into a queue that was already too long, so most interactive work in a flood was served late, and an idle lane kept accounts ahead of each other.

--- a/internal/decide/admission/lane.go
+++ b/internal/decide/admission/lane.go
@@ -132,11 +132,22 @@
 			break
 		}
 	}
-	if a.finish <= l.virtual {
+	if l.items == 0 {
+		l.rest()
+	} else if a.finish <= l.virtual {
 		delete(l.accounts, a.id)
 	}
 }
 
+// rest ends a busy period: nobody waits, so virtual time catches up with all
+// accounts and none is ahead of the others any more.
+func (l *lane) rest() {
+	for _, a := range l.accounts {
+		l.virtual = max(l.virtual, a.finish)
+	}
+	clear(l.accounts)
+}
+
 // correct moves the account's place in virtual time by the error of an estimate.
 func (l *lane) correct(item Item, difference int64) {
 	a := l.accounts[item.Account]
@@ -165,22 +176,37 @@
 
 func (a *account) load() float64 { return float64(a.cost) / a.weight }
 
-// before is the waiting cost with an earlier start tag than the item would get.
+// before is the cost that the lane serves before the item: at least the waiting
+// work whose start tag is not later, and, if all accounts that were active
+// lately go on sending, what they get until virtual time reaches the item's tag.
 func (l *lane) before(item Item) float64 {
-	start := l.virtual
-	if a := l.accounts[item.Account]; a != nil {
-		start = max(start, a.finish)
-		if len(a.queue) > 0 {
-			start = a.start + a.load()
+	start := l.startOf(item)
+	waiting, weights := 0.0, 0.0
+	for _, a := range l.accounts {
+		tag := a.start
+		for n := 0; n < len(a.queue) && tag <= start; n++ {
+			cost := float64(a.queue[n].item.Cost)
+			waiting += cost
+			tag += cost / a.weight
 		}
-	}
-	sum := 0.0
-	for _, a := range l.active {
-		if start > a.start {
-			sum += min(float64(a.cost), (start-a.start)*a.weight)
+		if len(a.queue) > 0 || a.finish > l.virtual {
+			weights += a.weight
 		}
 	}
-	return sum
+	return max(waiting, (start-l.virtual)*weights)
+}
+
+// startOf is the start tag that the item would get.
+func (l *lane) startOf(item Item) float64 {
+	a := l.accounts[item.Account]
+	switch {
+	case a == nil:
+		return l.virtual
+	case len(a.queue) > 0:
+		return a.start + a.load()
+	default:
+		return max(l.virtual, a.finish)
+	}
 }
 
 // weights is the sum over the accounts that wait, with the given one included.
--- a/internal/load/policybench/engine.go
+++ b/internal/load/policybench/engine.go
@@ -12,6 +12,7 @@
 	id      admission.ID
 	load    *Load
 	entry   int
+	home    int
 	arrived time.Time
 	prompt  int64
 	output  int64
--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -24,6 +24,11 @@
 		r.after(hop, func() { r.arrive(r.servers[0], q) })
 		return
 	}
+	if q.load.Booking {
+		// A booking goes to the home of its key.
+		r.after(hop, func() { r.arrive(r.servers[q.home%replicas], q) })
+		return
+	}
 	router := r.routers[q.entry]
 	query := q.query()
 	id, _, ok := router.Pick(r.now, query)
@@ -82,7 +87,7 @@
 
 // refuse tells the entry, which asks another replica.
 func (r *run) refuse(s *server, q *request, busy bool) {
-	if r.policy.Global {
+	if r.policy.Global || q.load.Booking {
 		q.refused = true
 		return
 	}
--- a/internal/load/policybench/run.go
+++ b/internal/load/policybench/run.go
@@ -161,7 +161,7 @@
 func newRequest(rng *rand.Rand, load *Load, n int) *request {
 	q := &request{
 		id: admission.ID{Request: ident.RequestID(fmt.Sprintf("r-%d.s", n)), Attempt: 1}, load: load,
-		entry: rng.IntN(entries), prompt: spread(rng, load.Prompt), output: spread(rng, load.Output),
+		entry: rng.IntN(entries), home: rng.IntN(replicas), prompt: spread(rng, load.Prompt), output: spread(rng, load.Output),
 	}
 	if load.Prefixes > 0 {
 		// A few prefixes are much more popular than the others.
