admission: keep the last slots for accounts within their part

Small accounts waited for a slot because a greedy account in the urgent class used the slots kept for urgent work too.

--- a/internal/decide/admission/lane.go
+++ b/internal/decide/admission/lane.go
@@ -86,11 +86,12 @@
 	l.items++
 }
 
-// head returns the account whose head item has the lowest start tag.
-func (l *lane) head() *account {
+// head returns the account, of those that may be served now, whose head item has
+// the lowest start tag. Nil means that there is none.
+func (l *lane) head(may func(ident.ClientAccount) bool) *account {
 	var best *account
 	for _, a := range l.active {
-		if best == nil || a.start < best.start {
+		if (best == nil || a.start < best.start) && may(a.id) {
 			best = a
 		}
 	}
--- a/internal/decide/admission/scheduler.go
+++ b/internal/decide/admission/scheduler.go
@@ -36,6 +36,8 @@
 	ended   expiryHeap
 	expired []Item
 	running int
+	// runningBy counts the running items by account.
+	runningBy map[ident.ClientAccount]int
 	// rate measures the cost that the backend server finishes per second.
 	rate capacity
 	now  time.Time
@@ -43,7 +45,7 @@
 
 // New returns an empty queue.
 func New(c Config) *Scheduler {
-	s := &Scheduler{known: make(map[ID]*work)}
+	s := &Scheduler{known: make(map[ID]*work), runningBy: make(map[ident.ClientAccount]int)}
 	s.machine = chart.MustBind(charts.Must("work"), chart.Binding[*work]{
 		Delays: map[string]func(*work) time.Duration{"proof": func(w *work) time.Duration {
 			return max(0, w.item.Deadline.Sub(w.now)) + proofWindow
@@ -154,7 +156,7 @@
 			return Item{}, false
 		}
 		l := s.lanes[n]
-		a := l.head()
+		a := l.head(s.mayRun)
 		if w := a.queue[0]; !now.Before(w.item.Deadline) {
 			s.end(now, w, "expire")
 			s.expired = append(s.expired, w.item)
@@ -171,6 +173,7 @@
 	invariant.Check(taken, "an attempt is dispatched once", "request %s attempt %d is %s", w.item.ID.Request, w.item.ID.Attempt, w.life.State())
 	w.begun = now
 	s.running++
+	s.runningBy[w.item.Account]++
 	cost := float64(w.item.Cost)
 	s.lanes[w.lane].served.add(now, cost)
 	s.settle(w.lane, cost)
@@ -186,6 +189,9 @@
 	s.remember(w)
 	s.rate.end(now, float64(max(1, cost)), s.full())
 	s.running--
+	if s.runningBy[w.item.Account]--; s.runningBy[w.item.Account] == 0 {
+		delete(s.runningBy, w.item.Account)
+	}
 	difference := max(1, cost) - w.item.Cost
 	s.lanes[w.lane].correct(w.item, difference)
 	s.lanes[w.lane].owed -= float64(difference)
--- a/internal/decide/admission/share.go
+++ b/internal/decide/admission/share.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+)
 
 // burst bounds, in seconds of a lane's guarantee, how far its account may run
 // ahead or behind. It keeps a lane that was served well for a long time from
@@ -21,7 +25,7 @@
 	owed, urgent := laneIndex(-1), laneIndex(-1)
 	for n := laneIndex(0); n < laneCount; n++ {
 		l := s.lanes[n]
-		if l.items == 0 {
+		if l.items == 0 || l.head(s.mayRun) == nil {
 			continue
 		}
 		if urgent < 0 && s.slotFor(n) {
@@ -37,6 +41,20 @@
 	return urgent, urgent >= 0
 }
 
+// greedyFactor is how many times its equal part of the slots an account may use
+// before the last slots are kept for others.
+const greedyFactor = 2
+
+// mayRun reports whether work of the account may take a slot now. The slots kept
+// for urgent work are closed to an account that already uses far more than its
+// part, so that others find one without waiting for an item of it to end.
+func (s *Scheduler) mayRun(id ident.ClientAccount) bool {
+	if s.config.Slots <= 0 || s.config.Slots-s.running > s.config.UrgentSlots {
+		return true
+	}
+	return s.runningBy[id]*len(s.runningBy) < greedyFactor*s.config.Slots
+}
+
 // slotFor reports whether an item of the lane may take a slot now.
 func (s *Scheduler) slotFor(n laneIndex) bool {
 	if s.config.Slots <= 0 {
--- a/internal/load/policybench/policybench_test.go
+++ b/internal/load/policybench/policybench_test.go
@@ -13,7 +13,7 @@
 const seed = 1
 
 func show(t *testing.T, name string, r pb.Result) {
-	t.Logf("%-44s %-24s useful %6.0f/s  jain %.3f  worst small account %6.2f%%  hits %.2f  control %6.0f B/s", name, r.Policy, r.Useful, r.Jain(), 100*r.WorstSmall(), r.Hits, r.ControlBytes)
+	t.Logf("%-44s %-24s useful %6.0f/s  jain %.3f  small accounts %6.2f%%, worst %6.2f%%  hits %.2f  control %6.0f B/s", name, r.Policy, r.Useful, r.Jain(), 100*r.Small(), 100*r.WorstSmall(), r.Hits, r.ControlBytes)
 	for _, class := range append(ident.PriorityClasses(), pb.Bookings) {
 		c := r.Classes[class]
 		if c == nil {
--- a/internal/load/policybench/result.go
+++ b/internal/load/policybench/result.go
@@ -137,6 +137,19 @@
 	return worst
 }
 
+// Small is the part of the interactive requests within target over all accounts
+// but the first.
+func (r Result) Small() float64 {
+	offered, in := 0, 0
+	for a, c := range r.Interactive {
+		if a != accountName(0) {
+			offered += c.Offered
+			in += c.InTarget
+		}
+	}
+	return float64(in) / float64(max(1, offered))
+}
+
 // Jain is Jain's fairness index of served over entitled cost. An account is
 // entitled to its demand or to an equal part of what was served, whichever is
 // less; what the others do not need is divided again.
