admission: pace the prompts of less urgent work

Prompts of batch work that start together hold up the first tokens of urgent work for several steps. At most one more than a quarter of the free slots works off its prompt at the same time.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -51,6 +51,10 @@
 	// UrgentSlots are kept free of analytical and batch work, so that urgent
 	// work need not wait for a long item to end.
 	UrgentSlots int
+	// Pace limits how many analytical and batch items work off their prompts at
+	// the same time, because prompts hold up the first tokens of urgent work. The
+	// caller then reports the first output of every item.
+	Pace bool
 	// Rate is the cost per second that the backend server gets done, used until
 	// it has been measured.
 	Rate float64
--- a/internal/decide/admission/scheduler.go
+++ b/internal/decide/admission/scheduler.go
@@ -17,6 +17,8 @@
 	now   time.Time
 	life  *chart.Instance[*work]
 	begun time.Time
+	// starting says that the item counts in Scheduler.starting.
+	starting bool
 	// reason is why the attempt will never be run, for copies of its offer.
 	reason outcome.Reason
 }
@@ -36,6 +38,8 @@
 	ended   expiryHeap
 	expired []Item
 	running int
+	// starting counts the running analytical and batch items without output yet.
+	starting int
 	// runningBy counts the running items by account.
 	runningBy map[ident.ClientAccount]int
 	// rate measures the cost that the backend server finishes per second.
@@ -174,11 +178,31 @@
 	w.begun = now
 	s.running++
 	s.runningBy[w.item.Account]++
+	if !w.lane.urgent() {
+		w.starting = true
+		s.starting++
+	}
 	cost := float64(w.item.Cost)
 	s.lanes[w.lane].served.add(now, cost)
 	s.settle(w.lane, cost)
 }
 
+// FirstOutput says that a running item has begun to answer: its prompt has been
+// worked off.
+func (s *Scheduler) FirstOutput(now time.Time, id ID) {
+	s.advance(now)
+	if w := s.known[id]; w != nil {
+		s.started(w)
+	}
+}
+
+func (s *Scheduler) started(w *work) {
+	if w.starting {
+		w.starting = false
+		s.starting--
+	}
+}
+
 // Charge ends a running item and corrects its estimate by its real cost in tokens.
 func (s *Scheduler) Charge(now time.Time, id ID, cost int64) {
 	s.advance(now)
@@ -187,6 +211,7 @@
 		return
 	}
 	s.remember(w)
+	s.started(w)
 	s.rate.end(now, float64(max(1, cost)), s.full())
 	s.running--
 	if s.runningBy[w.item.Account]--; s.runningBy[w.item.Account] == 0 {
--- a/internal/decide/admission/share.go
+++ b/internal/decide/admission/share.go
@@ -55,6 +55,10 @@
 	return s.runningBy[id]*len(s.runningBy) < greedyFactor*s.config.Slots
 }
 
+// paceSlots is how many free slots allow one more prompt at the same time: the
+// emptier the backend server, the less its prompts are spread.
+const paceSlots = 4
+
 // slotFor reports whether an item of the lane may take a slot now.
 func (s *Scheduler) slotFor(n laneIndex) bool {
 	if s.config.Slots <= 0 {
@@ -63,6 +67,9 @@
 	free := s.config.Slots - s.running
 	if !n.urgent() {
 		free -= s.config.UrgentSlots
+		if s.config.Pace && s.starting > free/paceSlots {
+			return false
+		}
 	}
 	return free > 0
 }
--- a/internal/load/policybench/doc.go
+++ b/internal/load/policybench/doc.go
@@ -46,6 +46,7 @@
 type Queue interface {
 	Offer(now time.Time, i admission.Item) admission.Decision
 	Next(now time.Time) (admission.Item, bool)
+	FirstOutput(now time.Time, id admission.ID)
 	Charge(now time.Time, id admission.ID, cost int64)
 	Expire(now time.Time) []admission.Item
 	QueuedCost() [3]int64
--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -143,6 +143,9 @@
 		}
 		ended := s.finish(r.now)
 		for q, waited := range before {
+			if waited && !q.first.IsZero() {
+				s.queue.FirstOutput(r.now, q.id)
+			}
 			if waited && !q.first.IsZero() && !r.policy.Global {
 				r.routers[q.entry].Step(r.now, routing.FirstToken{Server: s.id, Request: q.id.Request, After: q.first.Sub(q.arrived)})
 			}
--- a/internal/load/policybench/queues.go
+++ b/internal/load/policybench/queues.go
@@ -39,6 +39,9 @@
 	return admission.Item{}, false
 }
 
+// FirstOutput implements Queue.
+func (f *fcfs) FirstOutput(time.Time, admission.ID) {}
+
 // Charge implements Queue.
 func (f *fcfs) Charge(time.Time, admission.ID, int64) {}
 
