--- a/internal/decide/expertmap/random_test.go
+++ b/internal/decide/expertmap/random_test.go
@@ -40,6 +40,7 @@
 	rng := rand.New(rand.NewPCG(seed, 7))
 	w := newWorld(2+rng.IntN(7), rng.IntN(2) == 0)
 	faults := rng.IntN(5)
+	w.slowOrders = faults > 0
 	for range 30000 {
 		w.random(rng, faults)
 		if len(w.engines.TwoMaps()) > 0 {
@@ -105,12 +106,16 @@
 func (w *world) recover(t *testing.T, seed uint64, rng *rand.Rand) {
 	t.Helper()
 	clear(w.cut)
+	w.slowOrders = false
+	for i := range w.bag {
+		w.bag[i].slow = false
+	}
 	for r := range w.nodes {
 		w.paused[r] = w.now
 		w.engines.Stall(ident.Rank(r), false)
 	}
 	before, switched := w.engines.Completed(), w.switched
-	for range 400 {
+	for round := range 400 {
 		for len(w.bag) > 0 {
 			w.deliver(rng.IntN(len(w.bag)))
 		}
@@ -119,11 +124,18 @@
 			w.step(ident.Rank(r), w.engines.State(ident.Rank(r)))
 			w.engines.Enter(ident.Rank(r))
 		}
-		if rng.IntN(10) == 0 {
+		if round < 350 && rng.IntN(10) == 0 {
 			w.swap(rng)
 		}
 		must.Len(t, 0, w.engines.TwoMaps(), must.Sprintf("seed %d", seed))
 	}
+	epoch, content := w.nodes[0].Map()
+	for r, node := range w.nodes {
+		e, m := node.Map()
+		must.Eq(t, epoch, e, must.Sprintf("seed %d: rank %d ends on another map than rank 0", seed, r))
+		must.Eq(t, content.Hash(), m.Hash())
+		must.Eq(t, epoch, w.engines.State(ident.Rank(r)).Current)
+	}
 	must.Greater(t, before+100, w.engines.Completed(), must.Sprintf("seed %d: the group does not run after the faults", seed))
 	must.Greater(t, switched, w.switched, must.Sprintf("seed %d: the group does not switch after the faults", seed))
 }
--- a/internal/decide/expertmap/world_test.go
+++ b/internal/decide/expertmap/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/expertmap"
@@ -17,6 +18,8 @@
 	order       *expertmap.Order
 	reply       *expertmap.OrderReply
 	sent        time.Time
+	// slow marks an order that an engine without fencing obeys late.
+	slow bool
 }
 
 // world is a group of ranks with their engines, a bag of messages and a clock.
@@ -36,6 +39,9 @@
 	formed   int
 	sentWire int
 	margin   uint64
+	orders   int
+	// slowOrders makes every 29th order to an engine without fencing late.
+	slowOrders bool
 }
 
 const (
@@ -59,7 +65,7 @@
 
 func newWorldWith(n int, fencing bool, margin uint64) *world {
 	w := &world{n: n, fencing: fencing, now: time.Unix(1000, 0), nodes: make([]*expertmap.Rank, n), incs: make([]ident.Incarnation, n),
-		paused: make([]time.Time, n), margin: margin, engines: group.NewRanks(n, fencing), cut: make(map[[2]ident.Rank]bool)}
+		paused: make([]time.Time, n), margin: margin, engines: group.NewRanks(slices.Repeat([]bool{fencing}, n)), cut: make(map[[2]ident.Rank]bool)}
 	for r := range n {
 		w.start(ident.Rank(r))
 	}
@@ -89,7 +95,9 @@
 				w.bag = append(w.bag, flight{to: a.To, wire: &a.Wire, sent: w.now})
 			}
 		case expertmap.Instruct:
-			w.bag = append(w.bag, flight{to: r, incarnation: w.incs[r], order: &a.Order, sent: w.now})
+			w.orders++
+			slow := !w.fencing && w.slowOrders && w.orders%29 == 0
+			w.bag = append(w.bag, flight{to: r, incarnation: w.incs[r], order: &a.Order, sent: w.now, slow: slow})
 		case expertmap.Notice:
 			w.note(a)
 		}
@@ -113,7 +121,7 @@
 // nothing; the item then stays in the bag. Orders reach a paused rank's engine.
 func (w *world) deliver(i int) {
 	f := w.bag[i]
-	if f.order == nil && !w.awake(f.to) {
+	if f.order == nil && !w.awake(f.to) || f.slow && w.now.Sub(f.sent) <= settle/2 {
 		return
 	}
 	w.bag[i] = w.bag[len(w.bag)-1]
--- a/internal/link/run.go
+++ b/internal/link/run.go
@@ -39,9 +39,15 @@
 	inbound  *task.Mailbox[inbound]
 	beat     message.Heartbeat
 	heard    time.Time
+	role     message.Role
 	deliver  context.Context
 	frame    []byte
 	isClosed end
+	// gather runs while messages that can wait are left in the queue.
+	gather    *time.Timer
+	gathering bool
+	kept      message.Message
+	wrote     time.Time
 }
 
 // inbound is what the reading goroutine hands to the link's task.
@@ -114,7 +120,9 @@
 
 func (r *runner) loop(ctx context.Context) {
 	hello := r.config.Hello()
-	r.beat.Record = hello.Record
+	r.beat.Record, r.role = hello.Record, hello.Role
+	r.gather = time.NewTimer(time.Hour)
+	defer r.gather.Stop()
 	r.write(ctx, &hello)
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
@@ -123,7 +131,11 @@
 		case in := <-r.inbound.Receive():
 			r.take(ctx, in)
 		case m := <-r.outbound():
-			r.write(ctx, m)
+			r.send(ctx, m)
+		case <-r.urgent():
+			r.writeReady(ctx)
+		case <-r.gather.C:
+			r.writeReady(ctx)
 		case h := <-r.link.heartbeat.Receive():
 			r.replaceBeat(ctx, h)
 		case now := <-ticker.C:
@@ -136,14 +148,49 @@
 	}
 }
 
-// outbound withholds messages until the peer's Hello has arrived.
+// outbound withholds messages until the peer's Hello has arrived, and while
+// others gather for the next write.
 func (r *runner) outbound() <-chan message.Message {
-	if r.life.In("open") {
+	if r.life.In("open") && !r.gathering {
 		return r.link.outbound.Receive()
 	}
 	return nil
 }
 
+func (r *runner) urgent() <-chan struct{} {
+	if r.life.In("open") {
+		return r.link.urgent.Receive()
+	}
+	return nil
+}
+
+// send writes the message, or keeps it for the next write if it can wait and
+// the last write was a moment ago.
+func (r *runner) send(ctx context.Context, m message.Message) {
+	wait := gatherTime - time.Since(r.wrote)
+	if wait <= 0 || !canWait(m) {
+		r.write(ctx, m)
+		return
+	}
+	r.kept = m
+	r.gathering = true
+	r.gather.Reset(wait)
+}
+
+// writeReady ends the gathering and writes everything that waits.
+func (r *runner) writeReady(ctx context.Context) {
+	r.gathering = false
+	r.gather.Stop()
+	m := r.kept
+	r.kept = nil
+	if m == nil {
+		m = r.ready()
+	}
+	if m != nil && !r.life.Done() {
+		r.write(ctx, m)
+	}
+}
+
 func (r *runner) replaceBeat(ctx context.Context, h message.Heartbeat) {
 	urgent := h.Draining != r.beat.Draining || h.Record != r.beat.Record || h.Load.GroupState != r.beat.Load.GroupState
 	h.Sequence, h.Echo = r.beat.Sequence, r.beat.Echo
@@ -155,16 +202,26 @@
 
 func (r *runner) tick(ctx context.Context, now time.Time) {
 	r.life.Tick(now)
-	if now.Sub(r.heard) > silenceLimit || r.life.Done() {
+	interval := r.interval()
+	if now.Sub(r.heard) > silenceLimit+3*(interval-heartbeatInterval) || r.life.Done() {
 		r.isClosed = end{reason: reasonSilent, err: errors.New("nothing arrived")}
 		r.close(reasonSilent, r.isClosed.err)
 		return
 	}
-	if r.life.In("open") {
+	// Between sidecars, any other message stands for a heartbeat.
+	if r.life.In("open") && (interval == heartbeatInterval || now.Sub(r.wrote) > interval) {
 		r.sendBeat(ctx)
 	}
 }
 
+// interval is the time between heartbeats that change nothing.
+func (r *runner) interval() time.Duration {
+	if r.role == message.RoleSidecar && r.link.peer.Role == message.RoleSidecar {
+		return sidecarInterval
+	}
+	return heartbeatInterval
+}
+
 func (r *runner) sendBeat(ctx context.Context) {
 	r.beat.Sequence++
 	beat := r.beat
@@ -187,6 +244,11 @@
 		return
 	}
 	r.frame = batch
+	r.wrote = time.Now()
+	if len(batch) >= batchBytes {
+		// More is likely to wait; a full batch need not gather again.
+		r.wrote = time.Time{}
+	}
 	limited, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
 	if err := r.socket.Write(limited, websocket.MessageBinary, batch); err != nil {
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -69,6 +69,10 @@
 	leavingServer bool
 	hasEngine     bool
 
+	// groupRecords takes the records for the group task; nil without one.
+	groupRecords *task.Mailbox[*record.Snapshot]
+	groupReport  groupReport
+
 	// bookings is nil beside an engine.
 	bookings *bookings
 	queue    *task.Mailbox[queueMessage]
@@ -136,6 +140,9 @@
 		c.list(ctx, now, m.list)
 	case engineLoad:
 		c.engineLoad(ctx, now, m)
+	case groupReport:
+		c.groupReport = m
+		c.beat(ctx, now)
 	case stopProcess:
 		c.life.Fire(now, "stop")
 		c.beat(ctx, now)
@@ -184,6 +191,9 @@
 	c.snapshot = snapshot
 	c.metrics.record.Set(float64(snapshot.Digest.Revision))
 	c.events.Emit(eventlog.Event{Name: "record.adopted", Revision: snapshot.Digest.Revision})
+	if c.groupRecords != nil {
+		c.groupRecords.Send(ctx, snapshot)
+	}
 	c.queue.Send(ctx, setShares{snapshot: snapshot})
 	c.tellBookings(bookingRecord{snapshot: snapshot})
 	c.becomeReady(now)
@@ -286,6 +296,7 @@
 		Load: message.Load{
 			Running: f.running, QueuedCost: f.queued, Slots: f.slots,
 			TokensPerSecond: c.load.TokensPerSecond, AgeMS: c.loadAge(now),
+			GroupState: c.groupReport.state, StepMS: c.groupReport.stepMS,
 			Window: f.window,
 		},
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -61,7 +61,9 @@
 	// bookings is nil beside an engine.
 	bookings *bookings
 	engine   *engine.Engine
-	start    ident.Incarnation
+	// expertGroup is nil beside a plain service.
+	expertGroup *groupTask
+	start       ident.Incarnation
 }
 
 // Run runs a sidecar until the context ends, drains it, and returns.
@@ -129,6 +131,7 @@
 	c.logger, c.events, c.metrics, c.ready = p.options.Logger, p.options.Events, p.metrics, p.options.Ready
 	c.hasEngine, c.bookings = p.engine != nil, p.bookings
 	p.control = c
+	p.assembleGroup()
 	return nil
 }
 
@@ -175,6 +178,7 @@
 	if e.Kind == link.Down {
 		p.streams.mailbox.Send(ctx, linkDown{link: e.Link})
 	}
+	p.deliverGroup(ctx, e)
 	if p.bookings != nil {
 		p.deliverBookings(ctx, e)
 	}
@@ -207,6 +211,7 @@
 	p.group.Go("operations listener", func(ctx context.Context) error {
 		return operations.Serve(ctx, ops, operations.Handler(p.metrics.registry, p.readiness))
 	})
+	p.serveGroup(tlsConfig)
 	p.watchPlatform()
 	return nil
 }
--- a/internal/standin/dev/programs.go
+++ b/internal/standin/dev/programs.go
@@ -98,7 +98,9 @@
 		o.Models = []engine.Model{{Name: DemoModel, Version: "v1"}}
 		o.ChecksFencing = checksFencing(s.number)
 		o.WeightStore = "http://" + c.layout.weights
+		o.Group = c.groupHandler(s.id)
 		e := engine.New(o)
+		defer c.joinGroup(s.id)()
 		return c.runBackend(ctx, l, p, e, func(g *task.Group) error {
 			listener, err := p.network.Listen(ctx, p.address)
 			if err != nil {
