--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -42,8 +42,12 @@
 	StoreRevision uint64
 }
 
-// Instances is one read of the instance list; it holds the live instances.
-type Instances struct{ Members []message.Member }
+// Instances is one read of the instance list: the live entries, and the number
+// of all instances.
+type Instances struct {
+	Members []message.Member
+	Total   int
+}
 
 // Engine is what the engine beside a sidecar answered.
 type Engine struct{ Message orders.Message }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -89,6 +89,7 @@
 	case NoValue:
 		n.stepSpread(spread.ReadDone{Number: in.Number, Result: in.Result, StoreRevision: in.StoreRevision})
 	case Instances:
+		n.stepSpread(spread.Population{Instances: in.Total})
 		n.stepMembers(membership.Listed{Members: in.Members})
 		n.stepSpread(spread.Alive{Entries: n.members.Alive()})
 	case Engine:
--- a/internal/decide/membership/view.go
+++ b/internal/decide/membership/view.go
@@ -37,6 +37,22 @@
 	return out
 }
 
+// Entries returns the entries of all failure domains that are believed alive,
+// this process included if it is one, in alphabetical order.
+func (m *Membership) Entries() []ident.InstanceID {
+	out := []ident.InstanceID{}
+	if m.config.Role == message.RoleEntry {
+		out = append(out, m.config.Self)
+	}
+	for id, p := range m.peers {
+		if p.role == message.RoleEntry && p.belief.In("alive") {
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
 // State returns the chart state of the belief about a peer, or "" if it is unknown.
 func (m *Membership) State(id ident.InstanceID) string {
 	if p := m.peers[id]; p != nil {
--- a/internal/decide/orders/message.go
+++ b/internal/decide/orders/message.go
@@ -43,6 +43,8 @@
 type Observed struct {
 	Asked time.Time
 	State State
+	// Loading says that the engine is carrying out an earlier order.
+	Loading bool
 	// Highest is the greatest fencing token that the engine has seen. It is zero
 	// for an engine that ignores tokens.
 	Highest ident.FencingToken
--- a/internal/decide/orders/orders.go
+++ b/internal/decide/orders/orders.go
@@ -160,7 +160,7 @@
 // mayOrder holds back the orders of a process that is cut off, since its record
 // may be old, and loads whose place in the schedule has not come.
 func (o *Orders) mayOrder() bool {
-	if !o.known || !o.connected || o.leaseEnd().Before(o.now) {
+	if !o.known || !o.connected || o.observed.Loading || o.leaseEnd().Before(o.now) {
 		return false
 	}
 	order, _ := o.next()
--- a/internal/decide/spread/message.go
+++ b/internal/decide/spread/message.go
@@ -68,6 +68,9 @@
 // this process included.
 type Alive struct{ Entries []ident.InstanceID }
 
+// Population is the number of instances that the instance list shows.
+type Population struct{ Instances int }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -79,6 +82,7 @@
 func (BadPush) spreadMessage()    {}
 func (ReadDone) spreadMessage()   {}
 func (Alive) spreadMessage()      {}
+func (Population) spreadMessage() {}
 func (Tick) spreadMessage()       {}
 
 // Action is an output of Step. Actions are carried out in order.
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -29,7 +29,8 @@
 type Config struct {
 	Self ident.InstanceID
 	// Watches says that the process may watch the configuration service. Sidecars
-	// do not; they learn from the entries linked to them.
+	// learn from the entries linked to them; one without a record and without a
+	// link reads the service until it has a record.
 	Watches bool
 	// Watchers is the number of entries of a failure domain that watch.
 	Watchers int
@@ -52,9 +53,9 @@
 // Defaults returns the constants of the design page for a process.
 func Defaults(self ident.InstanceID, watches bool) Config {
 	return Config{
-		Self: self, Watches: watches, Watchers: 2, Wait: 25 * time.Second, AskTime: 2 * time.Second,
+		Self: self, Watches: watches, Watchers: 2, Wait: 25 * time.Second, AskTime: time.Second,
 		RetryTime: 300 * time.Millisecond, Tries: 4, PullTimeout: 500 * time.Millisecond,
-		JitterTime: 500 * time.Millisecond, BackOffMin: 500 * time.Millisecond, BackOffMax: 5 * time.Second,
+		JitterTime: 200 * time.Millisecond, BackOffMin: 500 * time.Millisecond, BackOffMax: 5 * time.Second,
 	}
 }
 
@@ -73,7 +74,9 @@
 	deliver *chart.Machine[*peer]
 	lineage lineage
 	reader  reader
-	source  ident.InstanceID
+	// population is the number of instances of the installation.
+	population int
+	source     ident.InstanceID
 	// lastRefusal is kept for /readyz.
 	lastRefusal Refuse
 	actions     []Action
@@ -141,6 +144,8 @@
 		s.readDone(in)
 	case Alive:
 		s.chooseWatch(in.Entries)
+	case Population:
+		s.population = in.Instances
 	case Tick:
 		s.tick()
 	}
@@ -151,6 +156,7 @@
 
 func (s *Spread) tick() {
 	s.life.Tick(s.now)
+	s.chooseOrphanRead()
 	s.watch.Tick(s.now)
 	s.pull.Tick(s.now)
 	for _, id := range s.sortedPeers() {
@@ -231,11 +237,26 @@
 	return list[max(0, len(list)-memory):]
 }
 
+// chooseOrphanRead lets a sidecar read that has neither a record nor a link.
+func (s *Spread) chooseOrphanRead() {
+	if s.config.Watches {
+		return
+	}
+	event := "dropped"
+	if len(s.peers) == 0 && s.life.In("empty") {
+		event = "chosen"
+	}
+	s.watch.Fire(s.now, event)
+}
+
 // chooseWatch starts or ends the watch by this process's rank among the entries
 // of its failure domain.
 func (s *Spread) chooseWatch(alive []ident.InstanceID) {
+	if !s.config.Watches {
+		return
+	}
 	event := "dropped"
-	if s.config.Watches && slices.Contains(rendezvous.Top(watchKey, alive, s.config.Watchers), s.config.Self) {
+	if slices.Contains(rendezvous.Top(watchKey, alive, s.config.Watchers), s.config.Self) {
 		event = "chosen"
 	}
 	s.watch.Fire(s.now, event)
--- a/internal/decide/spread/watch.go
+++ b/internal/decide/spread/watch.go
@@ -19,11 +19,18 @@
 // target size 8 entries watch, which bounds their reads to 80 a second.
 const readSpacing = 100 * time.Millisecond
 
+// unchangedLimit is the number of reads without a newer value after which the
+// value is read again, about every 10 minutes. At target size that is 1.4 KB/s
+// for a watcher.
+const unchangedLimit = 24
+
 // reader is what the watch knows of the configuration service.
 type reader struct {
 	number   uint64
 	after    uint64
 	failures int
+	// unchanged counts the reads that ended without a newer value.
+	unchanged int
 }
 
 func watchBinding() chart.Binding[*Spread] {
@@ -40,7 +47,7 @@
 			"clearFailures": func(s *Spread) { s.reader.failures = 0 },
 		},
 		Delays: map[string]func(*Spread) time.Duration{
-			"jitter":      func(s *Spread) time.Duration { return s.upTo(s.config.JitterTime) },
+			"jitter":      (*Spread).jitter,
 			"readTimeout": (*Spread).readTimeout,
 			"spacing":     func(*Spread) time.Duration { return readSpacing },
 			"backOff":     (*Spread).backOff,
@@ -53,6 +60,17 @@
 	s.act(Read{Number: s.reader.number, After: s.reader.after, Wait: s.config.Wait})
 }
 
+// orphanSpacing is the mean time between the first reads of sidecars that start
+// without an entry, over the whole installation: 250 reads a second.
+const orphanSpacing = 4 * time.Millisecond
+
+func (s *Spread) jitter() time.Duration {
+	if s.config.Watches {
+		return s.upTo(s.config.JitterTime)
+	}
+	return s.upTo(max(s.config.JitterTime, time.Duration(s.population)*orphanSpacing))
+}
+
 // readTimeout is short for a read that the service answers at once.
 func (s *Spread) readTimeout() time.Duration {
 	if s.reader.after == 0 {
@@ -66,7 +84,11 @@
 // processes that failed together do not return together.
 func (s *Spread) backOff() time.Duration {
 	pause, most := s.config.BackOffMin, s.config.BackOffMax
-	if s.inForce == (message.Digest{}) {
+	switch {
+	case !s.config.Watches:
+		spread := time.Duration(s.population) * orphanSpacing
+		pause, most = max(pause, spread), max(most, 2*spread)
+	case s.inForce == message.Digest{}:
 		most = min(most, emptyBackOff)
 	}
 	for range s.reader.failures - 1 {
@@ -88,9 +110,15 @@
 	case ReadFailed:
 		event = "failed"
 	case ReadUnchanged:
-		// A counter that went back means that the service lost its state. The next
-		// read asks for the value whatever the counter is.
-		if in.StoreRevision != 0 && in.StoreRevision < s.reader.after {
+		if s.reader.after == 0 {
+			// The service has no value.
+			event = "failed"
+			break
+		}
+		// A service that lost its state may count from the start again without
+		// saying so. Now and then a read asks for the value whatever the counter is.
+		s.reader.unchanged++
+		if s.reader.unchanged%unchangedLimit == 0 || (in.StoreRevision != 0 && in.StoreRevision < s.reader.after) {
 			s.reader.after = 0
 		}
 	case ReadValue:
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -9,11 +9,13 @@
 
 	"github.com/anvilpoint/anvilpoint/chart"
 	"github.com/anvilpoint/anvilpoint/internal/charts"
+	nodecontrol "github.com/anvilpoint/anvilpoint/internal/control"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/link"
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/operations"
+	"github.com/anvilpoint/anvilpoint/internal/peering"
 	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/record"
 	"github.com/anvilpoint/anvilpoint/task"
@@ -29,7 +31,7 @@
 
 type (
 	linkEvent    struct{ event link.Event }
-	configValue  struct{ value platform.Value }
+	configRead   struct{ answer platform.ReadAnswer }
 	listValue    struct{ list platform.List }
 	stopProcess  struct{}
 	askDirectory struct{ reply chan<- *directory }
@@ -39,7 +41,7 @@
 )
 
 func (linkEvent) isControlMessage()    {}
-func (configValue) isControlMessage()  {}
+func (configRead) isControlMessage()   {}
 func (listValue) isControlMessage()    {}
 func (stopProcess) isControlMessage()  {}
 func (askDirectory) isControlMessage() {}
@@ -53,10 +55,15 @@
 	grace     time.Duration
 	instance  ident.InstanceID
 	directory *directory
-	refused   string
+	peering   *peering.Peering
 	links     map[*link.Link]struct{}
 	// dialers are the running diallers by address.
-	dialers  map[string]context.CancelFunc
+	dialers map[string]context.CancelFunc
+	// peers are the running diallers to other entries, and joined is when they
+	// were last adjusted.
+	peers    map[ident.InstanceID]context.CancelFunc
+	joined   time.Time
+	round    uint64
 	dial     func(ctx context.Context, address string)
 	dispatch *task.Mailbox[dispatchMessage]
 	bookings *task.Mailbox[bookingMessage]
@@ -71,6 +78,7 @@
 	c := &control{
 		mailbox: task.NewMailbox[controlMessage](controlCapacity, task.Block), grace: grace,
 		links: make(map[*link.Link]struct{}), dialers: make(map[string]context.CancelFunc),
+		peers: make(map[ident.InstanceID]context.CancelFunc),
 	}
 	machine, err := chart.Bind(charts.Must("process"), chart.Binding[*control]{
 		Delays:  map[string]func(*control) time.Duration{"grace": func(c *control) time.Duration { return c.grace }},
@@ -112,11 +120,11 @@
 func (c *control) step(ctx context.Context, now time.Time, m controlMessage) {
 	switch m := m.(type) {
 	case linkEvent:
-		c.linkEvent(m.event)
-	case configValue:
-		c.value(ctx, now, m.value)
+		c.linkEvent(ctx, now, m.event)
+	case configRead:
+		c.peering.Read(ctx, now, m.answer)
 	case listValue:
-		c.list(now, m.list)
+		c.list(ctx, now, m.list)
 	case stopProcess:
 		c.life.Fire(now, "stop")
 		c.beat()
@@ -127,7 +135,8 @@
 	}
 }
 
-func (c *control) linkEvent(e link.Event) {
+func (c *control) linkEvent(ctx context.Context, now time.Time, e link.Event) {
+	c.peering.Link(ctx, now, e)
 	switch e.Kind {
 	case link.Up:
 		c.links[e.Link] = struct{}{}
@@ -144,71 +153,30 @@
 	return c.directory.snapshot.Digest
 }
 
-// value takes a value of the configuration service. Only a newer record is put
-// in force; a refused one changes nothing.
-func (c *control) value(ctx context.Context, now time.Time, v platform.Value) {
-	if v.Err != nil {
-		c.logger.Warn().Err(v.Err).Msg("configuration service")
-		return
-	}
-	snapshot, faults := record.Parse("configuration service", v.Data)
-	if len(faults) > 0 {
-		c.refused = faults[0].String()
-		c.metrics.badValue.Inc()
-		c.logger.Error().Str("fault", c.refused).Msg("configuration record refused")
-		return
-	}
-	c.refused = ""
-	if c.directory != nil && !c.digest().Less(snapshot.Digest) {
-		return
-	}
-	c.adopt(ctx, now, snapshot)
-}
-
-func (c *control) adopt(ctx context.Context, now time.Time, s *record.Snapshot) {
+// adopt puts a record in force: one immutable snapshot for all tasks.
+func (c *control) adopt(ctx context.Context, s *record.Snapshot) {
 	c.directory = newDirectory(s)
-	c.metrics.record.Set(float64(s.Digest.Revision))
-	c.events.Emit(eventlog.Event{Name: "record.adopted", Revision: s.Digest.Revision})
 	c.dispatch.Send(ctx, setSnapshot{snapshot: s})
 	c.bookings.Send(ctx, bookingRecord{snapshot: s})
-	c.connect(ctx, s)
-	if _, ok := c.life.Fire(now, "configured"); ok && c.ready != nil {
-		c.ready()
-	}
+	c.connect(ctx)
 	c.beat()
 }
 
-// connect keeps one dialler for each sidecar of the record.
-func (c *control) connect(ctx context.Context, s *record.Snapshot) {
-	wanted := make(map[string]bool)
-	for _, r := range s.Replicas {
-		wanted[r.Address] = true
-	}
-	for _, service := range s.Services {
-		for _, r := range service.Replicas {
-			wanted[r.Address] = true
-		}
-	}
-	for address, cancel := range c.dialers {
-		if !wanted[address] {
-			cancel()
-			delete(c.dialers, address)
-		}
-	}
-	for address := range wanted {
-		if _, running := c.dialers[address]; !running {
-			limited, cancel := context.WithCancel(ctx)
-			c.dialers[address] = cancel
-			c.dial(limited, address)
-		}
+// peersAsked lets the process serve: it has a record, and has asked its peers
+// for a newer one.
+func (c *control) peersAsked() {
+	if _, ok := c.life.Fire(time.Now(), "configured"); ok && c.ready != nil {
+		c.ready()
 	}
 }
 
-func (c *control) list(now time.Time, l platform.List) {
+func (c *control) list(ctx context.Context, now time.Time, l platform.List) {
 	if l.Err != nil {
 		c.logger.Debug().Err(l.Err).Msg("instance list")
 		return
 	}
+	c.peering.Instances(ctx, now, l.Instances)
+	c.join(ctx, now)
 	for _, i := range l.Instances {
 		if i.Name != c.instance {
 			continue
@@ -232,6 +200,8 @@
 		}
 	}
 	c.life.Tick(now)
+	c.peering.Step(ctx, now, nodecontrol.Tick{})
+	c.join(ctx, now)
 }
 
 // beat sets the heartbeat of every link.
@@ -243,9 +213,6 @@
 }
 
 func (c *control) readiness() operations.Readiness {
-	text := c.life.State()
-	if c.refused != "" {
-		text += "; refused record: " + c.refused
-	}
+	text := c.life.State() + "; " + c.peering.Status()
 	return operations.Readiness{Ready: c.life.In("ready"), Text: text}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/network"
 	"github.com/anvilpoint/anvilpoint/internal/operations"
+	"github.com/anvilpoint/anvilpoint/internal/peering"
 	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/settings"
 	"github.com/anvilpoint/anvilpoint/task"
@@ -52,7 +53,10 @@
 	dispatch *dispatch
 	bookings *bookings
 	control  *control
+	reader   *platform.Reader
 	start    ident.Incarnation
+	// certificates is nil for plain text.
+	certificates *link.Certificates
 }
 
 // listeners are the bound addresses of an entry.
@@ -117,8 +121,8 @@
 }
 
 func (p *process) assembleControl(now time.Time) error {
-	tlsConfig, err := link.TLSConfig(p.options.Settings.TLS)
-	if err != nil {
+	var err error
+	if p.certificates, err = link.NewCertificates(p.options.Settings.TLS); err != nil {
 		return err
 	}
 	c, err := newControl(now, p.options.Settings.Grace)
@@ -130,15 +134,29 @@
 	c.ready, c.random = p.options.Ready, p.random(3)
 	c.dial = func(ctx context.Context, address string) {
 		dialer := &link.Dialer{
-			Config: p.config, Address: address, Network: p.options.Network, TLS: tlsConfig,
+			Config: p.config, Address: address, Network: p.options.Network, TLS: p.certificates,
 			Random: rand.New(rand.NewPCG(c.random.Uint64(), c.random.Uint64())),
 		}
 		p.group.Go("link to "+address, func(context.Context) error { return dialer.Run(ctx) })
 	}
 	p.control = c
+	p.assemblePeering(now)
 	return nil
 }
 
+func (p *process) assemblePeering(now time.Time) {
+	s := p.options.Settings
+	p.reader = platform.NewReader(s.ConfigService, platform.Client(p.options.Network), func(ctx context.Context, a platform.ReadAnswer) {
+		p.control.mailbox.Send(ctx, configRead{answer: a})
+	})
+	p.control.peering = peering.New(now, peering.Config{
+		Self: s.Instance, Role: message.RoleEntry, Domain: s.Domain, Address: s.LinkListen, Incarnation: p.start,
+		Seed: p.random(4).Int64(), Logger: p.options.Logger, Events: p.options.Events,
+		Metrics: peering.NewMetrics(p.metrics.registry), Reader: p.reader,
+		InForce: p.control.adopt, Ready: p.control.peersAsked,
+	})
+}
+
 // random returns a source of its own for one task.
 func (p *process) random(stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(uint64(p.start)^rand.Uint64(), stream))
@@ -168,7 +186,7 @@
 
 // deliver passes what arrived on a link to the tasks that it concerns.
 func (p *process) deliver(ctx context.Context, e link.Event) {
-	if e.Kind != link.Received {
+	if e.Kind != link.Received || slices.ContainsFunc(e.Messages, peering.Concerns) {
 		p.control.mailbox.Send(ctx, linkEvent{event: e})
 	}
 	if e.Link.Peer().Role == message.RoleSidecar {
@@ -192,15 +210,15 @@
 
 func (p *process) serve(l listeners) error {
 	s := p.options.Settings
-	tlsConfig, err := link.TLSConfig(s.TLS)
-	if err != nil {
-		return err
+	if p.certificates != nil {
+		p.certificates.Failed = func(err error) { p.options.Logger.Error().Err(err).Msg("the changed certificate is not used") }
+		p.group.Go("certificates", p.certificates.Run)
 	}
 	callers := &callers{dispatch: p.dispatch.mailbox, control: p.control.mailbox, bookings: p.bookings.mailbox, maxBody: s.MaxBodyBytes, metrics: p.metrics}
 	p.group.Go("dispatch", p.dispatch.run)
 	p.group.Go("bookings", p.bookings.run)
 	p.listener("caller listener", l.callers, func(context.Context) http.Handler { return callers.handler() })
-	p.listener("link listener", link.Listener(l.links, tlsConfig), func(ctx context.Context) http.Handler {
+	p.listener("link listener", link.Listener(l.links, p.certificates), func(ctx context.Context) http.Handler {
 		return link.Accept(ctx, p.config)
 	})
 	p.listener("operations listener", l.operations, func(context.Context) http.Handler {
@@ -216,11 +234,8 @@
 
 func (p *process) watchPlatform() {
 	s := p.options.Settings
-	client := platform.Client(p.options.Network)
-	watch := &platform.ConfigWatch{URL: s.ConfigService, Client: client, Random: p.random(4),
-		Deliver: func(ctx context.Context, v platform.Value) { p.control.mailbox.Send(ctx, configValue{value: v}) }}
-	p.group.Go("configuration watch", watch.Run)
-	list := &platform.ListPoll{URL: s.InstanceList, Client: client, Random: p.random(5),
+	p.group.Go("configuration reads", p.reader.Run)
+	list := &platform.ListPoll{URL: s.InstanceList, Client: platform.Client(p.options.Network), Random: p.random(5),
 		Deliver: func(ctx context.Context, l platform.List) { p.control.mailbox.Send(ctx, listValue{list: l}) }}
 	p.group.Go("instance list", list.Run)
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -10,8 +10,6 @@
 	stray    prometheus.Counter
 	broken   prometheus.Counter
 	links    *prometheus.CounterVec
-	record   prometheus.Gauge
-	badValue prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -32,13 +30,7 @@
 		links: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "anvilpoint_link_closed_total", Help: "Links that ended, by reason.",
 		}, []string{"reason"}),
-		record: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "anvilpoint_record_revision", Help: "Revision of the configuration record in force.",
-		}),
-		badValue: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "anvilpoint_record_refused_total", Help: "Configuration records that were refused.",
-		}),
 	}
-	m.registry.MustRegister(m.requests, m.chunks, m.stray, m.broken, m.links, m.record, m.badValue)
+	m.registry.MustRegister(m.requests, m.chunks, m.stray, m.broken, m.links)
 	return m
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -73,17 +73,20 @@
 // Link is the handle of one link. It is valid after Up; sends after Down are
 // dropped.
 type Link struct {
-	peer      message.Hello
-	address   string
+	peer    message.Hello
+	address string
+	// identity is what the peer's certificate says, or nil for plain text.
+	identity  *Identity
 	outbound  *task.Mailbox[message.Message]
 	urgent    *task.Mailbox[struct{}]
 	heartbeat *task.Mailbox[message.Heartbeat]
 	closing   *task.Mailbox[string]
 }
 
-func newLink(address string) *Link {
+func newLink(address string, identity *Identity) *Link {
 	return &Link{
 		address:   address,
+		identity:  identity,
 		outbound:  task.NewMailbox[message.Message](outboundCapacity, task.RejectNew),
 		urgent:    task.NewMailbox[struct{}](1, task.RejectNew),
 		heartbeat: task.NewMailbox[message.Heartbeat](1, task.DropOldest),
--- a/internal/link/open.go
+++ b/internal/link/open.go
@@ -29,11 +29,16 @@
 // ends or the context does.
 func Accept(ctx context.Context, config Config) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		identity, err := identityOf(r.TLS)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusForbidden)
+			return
+		}
 		socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 		if err != nil {
 			return
 		}
-		_ = run(ctx, config, newLink(r.RemoteAddr), socket)
+		_ = run(ctx, config, newLink(r.RemoteAddr, identity), socket)
 	})
 }
 
@@ -43,7 +48,7 @@
 	Address string
 	Network network.Network
 	// TLS is nil for plain text.
-	TLS *tls.Config
+	TLS *Certificates
 	// Random spreads the pauses. It is owned by the dialler.
 	Random *rand.Rand
 }
@@ -51,12 +56,10 @@
 // Run opens the link, runs it, and opens it again after a jittered pause until
 // the context ends.
 func (d *Dialer) Run(ctx context.Context) error {
-	client := d.client()
-	defer client.CloseIdleConnections()
 	pause := firstPause
 	for {
 		opened := time.Now()
-		_ = d.once(ctx, client)
+		_ = d.once(ctx)
 		if time.Since(opened) > settled {
 			pause = firstPause
 		}
@@ -67,29 +70,44 @@
 	}
 }
 
-func (d *Dialer) once(ctx context.Context, client *http.Client) error {
+func (d *Dialer) once(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	client, err := d.client(limited)
+	if err != nil {
+		return err
+	}
+	defer client.CloseIdleConnections()
 	scheme := "ws://"
 	if d.TLS != nil {
 		scheme = "wss://"
 	}
-	socket, _, err := websocket.Dial(limited, scheme+d.Address+Path, &websocket.DialOptions{
+	socket, response, err := websocket.Dial(limited, scheme+d.Address+Path, &websocket.DialOptions{
 		HTTPClient: client, CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
 		return err
 	}
-	return run(ctx, d.Config, newLink(d.Address), socket)
+	identity, err := identityOf(response.TLS)
+	if err != nil {
+		_ = socket.CloseNow()
+		return err
+	}
+	return run(ctx, d.Config, newLink(d.Address, identity), socket)
 }
 
-func (d *Dialer) client() *http.Client {
+// client uses the certificate that holds now.
+func (d *Dialer) client(ctx context.Context) (*http.Client, error) {
+	config, err := d.TLS.Client(ctx)
+	if err != nil {
+		return nil, err
+	}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return d.Network.Dial(ctx, address)
 		},
-		TLSClientConfig: d.TLS,
-	}}
+		TLSClientConfig: config,
+	}}, nil
 }
 
 func sleep(ctx context.Context, pause time.Duration) bool {
@@ -103,10 +121,10 @@
 	}
 }
 
-// Listener puts TLS on a listener for links. A nil configuration is plain text.
-func Listener(l net.Listener, config *tls.Config) net.Listener {
-	if config == nil {
+// Listener puts TLS on a listener for links. Nil certificates mean plain text.
+func Listener(l net.Listener, c *Certificates) net.Listener {
+	if c == nil {
 		return l
 	}
-	return tls.NewListener(l, config)
+	return tls.NewListener(l, c.Server())
 }
--- a/internal/link/read.go
+++ b/internal/link/read.go
@@ -80,7 +80,7 @@
 	r.life.Fire(now, "hello")
 	if !r.life.In("open") {
 		r.link.peer = message.Hello{}
-		r.isClosed = end{reason: reasonVersion, err: errors.Errorf("peer has protocol version %d and role %q", hello.Version, hello.Role)}
+		r.isClosed = end{reason: reasonVersion, err: errors.Errorf("peer has protocol version %d, role %q, failure domain %q and instance %q; its certificate says %+v", hello.Version, hello.Role, hello.Domain, hello.Instance, r.link.identity)}
 		return false
 	}
 	r.config.Deliver(ctx, Event{Link: r.link, Kind: Up})
--- a/internal/link/run.go
+++ b/internal/link/run.go
@@ -64,7 +64,7 @@
 // compatible reports whether the peer's Hello can be answered with work.
 func (r *runner) compatible() bool {
 	peer := r.link.peer
-	return peer.Version == message.ProtocolVersion &&
+	return peer.Version == message.ProtocolVersion && r.link.identity.matches(peer) &&
 		(peer.Role == message.RoleEntry || peer.Role == message.RoleSidecar)
 }
 
--- /dev/null
+++ b/internal/link/tlsdial_test.go
@@ -0,0 +1,13 @@
+package link_test
+
+import "crypto/tls"
+
+// tlsDial returns the state of one handshake.
+func tlsDial(address string, config *tls.Config) (tls.ConnectionState, error) {
+	c, err := tls.Dial("tcp", address, config)
+	if err != nil {
+		return tls.ConnectionState{}, err
+	}
+	defer c.Close()
+	return c.ConnectionState(), nil
+}
--- /dev/null
+++ b/internal/peering/carry.go
@@ -0,0 +1,109 @@
+package peering
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/anvilpoint/anvilpoint/internal/control"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/platform"
+)
+
+// Name formats a digest for people: the revision and the hash.
+func Name(d message.Digest) string { return fmt.Sprintf("%d/%016x", d.Revision, d.Hash) }
+
+func (p *Peering) carryOut(ctx context.Context, o control.Out) {
+	switch o := o.(type) {
+	case control.Send:
+		p.send(o)
+	case control.InForce:
+		p.inForce(ctx, o)
+	case control.Refused:
+		p.refused(o)
+	case control.Ignored:
+		p.ignored(o)
+	case control.Ready:
+		p.ready = true
+		p.config.Ready()
+	case control.Read:
+		p.config.Reader.Request(ctx, platform.ReadRequest{Number: o.Number, After: o.After, Wait: o.Wait})
+	case control.CancelRead:
+		p.config.Reader.Request(ctx, platform.ReadRequest{Cancel: true})
+	case control.PeerChanged:
+		p.changed(o)
+	case control.ReadBack:
+		p.config.ReadBack()
+	case control.Order:
+		p.order(o)
+	case control.Reached:
+		p.config.Events.Emit(eventlog.Event{Name: "order.reached", Revision: o.Revision, Server: p.config.Server})
+	}
+}
+
+func (p *Peering) send(o control.Send) {
+	links := p.links[o.To]
+	if len(links) == 0 {
+		return
+	}
+	if push, ok := o.Message.(*message.RecordPush); ok {
+		kind := "patch"
+		if len(push.Whole) > 0 {
+			kind = "whole"
+		}
+		p.config.Metrics.pushes.WithLabelValues(kind).Inc()
+	}
+	links[len(links)-1].Send(o.Message)
+}
+
+func (p *Peering) inForce(ctx context.Context, o control.InForce) {
+	d := o.Snapshot.Digest
+	from := string(o.From)
+	if from == "" {
+		from = "configuration service"
+	}
+	p.refusal = ""
+	p.config.Metrics.revision.Set(float64(d.Revision))
+	p.config.Events.Emit(eventlog.Event{Name: "record.accepted", Revision: d.Revision, Detail: Name(d) + " from " + from})
+	p.config.InForce(ctx, o.Snapshot)
+	p.config.Events.Emit(eventlog.Event{Name: "record.in-force", Revision: d.Revision, Detail: Name(d)})
+	p.config.Logger.Info().Str("record", Name(d)).Str("from", from).Msg("record in force")
+}
+
+func (p *Peering) refused(o control.Refused) {
+	p.refusal = Name(o.Record) + ": " + o.Reason
+	p.config.Metrics.refused.Inc()
+	p.config.Events.Emit(eventlog.Event{Name: "record.refused", Revision: o.Record.Revision, Reason: "invalid", Detail: p.refusal})
+	p.config.Logger.Error().Str("record", Name(o.Record)).Str("fault", o.Reason).Msg("configuration record refused")
+}
+
+func (p *Peering) ignored(o control.Ignored) {
+	if !o.Stale {
+		return
+	}
+	p.config.Metrics.stale.Inc()
+	p.config.Events.Emit(eventlog.Event{Name: "record.stale", Revision: o.Record.Revision, Detail: Name(o.Record)})
+	p.config.Logger.Warn().Str("record", Name(o.Record)).Msg("the configuration service returned an older record; it is ignored")
+}
+
+func (p *Peering) changed(o control.PeerChanged) {
+	t := o.Transition
+	p.config.Metrics.peers.WithLabelValues(t.To).Inc()
+	p.config.Events.Emit(eventlog.Event{
+		Name: "peer." + t.To, Instance: o.Peer, Chart: t.Chart, From: t.From, To: t.To, Reason: t.Event,
+	})
+}
+
+func (p *Peering) order(o control.Order) {
+	p.config.Metrics.orders.WithLabelValues(string(o.Kind)).Inc()
+	p.config.Events.Emit(eventlog.Event{
+		Name: "order.sent", Revision: o.Revision, Server: p.config.Server,
+		Detail: fmt.Sprintf("%s %s %s%s%s, token %d", o.Kind, o.Model, o.Version, o.Adapter, o.Role, o.Token),
+	})
+	p.config.Order(o.Order)
+}
+
+// Believes returns what this process believes of a peer, as a state of the
+// chart "peer", or "" for an unknown one.
+func (p *Peering) Believes(id ident.InstanceID) string { return p.node.Believes(id) }
--- /dev/null
+++ b/internal/peering/peering.go
@@ -0,0 +1,198 @@
+// Package peering carries out what package control decides, for the control
+// tasks of entry and sidecar: it sends over links, reads the configuration
+// service, records events and counts. The control task of the process owns it.
+package peering
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/anvilpoint/anvilpoint/internal/control"
+	"github.com/anvilpoint/anvilpoint/internal/decide/membership"
+	"github.com/anvilpoint/anvilpoint/internal/decide/orders"
+	"github.com/anvilpoint/anvilpoint/internal/decide/spread"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/link"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/platform"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+)
+
+// Config describes the process.
+type Config struct {
+	Self        ident.InstanceID
+	Role        message.Role
+	Domain      ident.FailureDomain
+	Address     string
+	Server      ident.ServerID
+	Incarnation ident.Incarnation
+	Seed        int64
+	// SendsOrders says that an engine is beside this process.
+	SendsOrders bool
+	Logger      zerolog.Logger
+	Events      *eventlog.Log
+	Metrics     *Metrics
+	// Reader reads the configuration service.
+	Reader *platform.Reader
+	// InForce, Ready, ReadBack and Order are called by the owning task.
+	InForce  func(ctx context.Context, s *record.Snapshot)
+	Ready    func()
+	ReadBack func()
+	Order    func(o orders.Order)
+}
+
+// Peering joins a control.Node to the process.
+type Peering struct {
+	config Config
+	node   *control.Node
+	// links are the open links to the latest incarnation of each peer. Two
+	// entries that dial each other at the same time have two.
+	links   map[ident.InstanceID][]*link.Link
+	refusal string
+	ready   bool
+}
+
+// New returns a peering without links.
+func New(now time.Time, config Config) *Peering {
+	members := membership.Defaults(config.Self, config.Role, config.Domain, config.Incarnation)
+	members.Address = config.Address
+	nodeConfig := control.Config{
+		Seed: config.Seed, Membership: members, Server: config.Server,
+		Spread: spread.Defaults(config.Self, config.Role == message.RoleEntry),
+	}
+	if config.SendsOrders {
+		constants := orders.Defaults()
+		nodeConfig.Orders = &constants
+	}
+	return &Peering{config: config, node: control.New(now, nodeConfig), links: make(map[ident.InstanceID][]*link.Link)}
+}
+
+// Step hands an input to the decisions and carries out what they return.
+func (p *Peering) Step(ctx context.Context, now time.Time, in control.In) {
+	for _, o := range p.node.Step(now, in) {
+		p.carryOut(ctx, o)
+	}
+}
+
+// Link takes an event of a link. What comes from an earlier incarnation of a
+// peer than the latest is dropped.
+func (p *Peering) Link(ctx context.Context, now time.Time, e link.Event) {
+	peer := e.Link.Peer()
+	switch e.Kind {
+	case link.Up:
+		p.up(ctx, now, e.Link)
+	case link.Down:
+		p.down(ctx, now, e.Link)
+	case link.Received:
+		if !slices.Contains(p.links[peer.Instance], e.Link) {
+			return
+		}
+		for _, m := range e.Messages {
+			if Concerns(m) {
+				p.Step(ctx, now, control.Frame{From: peer.Instance, Message: m})
+			}
+		}
+	}
+}
+
+func (p *Peering) up(ctx context.Context, now time.Time, l *link.Link) {
+	peer := l.Peer()
+	known := p.links[peer.Instance]
+	if len(known) > 0 {
+		switch latest := known[0].Peer().Incarnation; {
+		case latest > peer.Incarnation:
+			return
+		case latest < peer.Incarnation:
+			known = nil
+		}
+	}
+	p.links[peer.Instance] = append(known, l)
+	p.Step(ctx, now, control.LinkUp{Hello: peer})
+}
+
+func (p *Peering) down(ctx context.Context, now time.Time, l *link.Link) {
+	id := l.Peer().Instance
+	known := p.links[id]
+	at := slices.Index(known, l)
+	if at < 0 {
+		return
+	}
+	if known = slices.Delete(known, at, at+1); len(known) > 0 {
+		p.links[id] = known
+		return
+	}
+	delete(p.links, id)
+	p.Step(ctx, now, control.LinkDown{Peer: id})
+}
+
+// Concerns reports whether a message is for Link.
+func Concerns(m message.Message) bool {
+	switch message.KindOf(m) {
+	case message.KindHeartbeat, message.KindMembers, message.KindRecordDigest, message.KindRecordPull, message.KindRecordPush:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read takes the end of a read of the configuration service.
+func (p *Peering) Read(ctx context.Context, now time.Time, a platform.ReadAnswer) {
+	switch {
+	case a.Value.Err != nil:
+		p.config.Metrics.reads.WithLabelValues("failed").Inc()
+		p.config.Logger.Warn().Err(a.Value.Err).Msg("configuration service")
+		p.Step(ctx, now, control.NoValue{Number: a.Number, Result: spread.ReadFailed})
+	case !a.Changed:
+		p.config.Metrics.reads.WithLabelValues("unchanged").Inc()
+		p.Step(ctx, now, control.NoValue{Number: a.Number, Result: spread.ReadUnchanged, StoreRevision: a.Value.StoreRevision})
+	default:
+		p.config.Metrics.reads.WithLabelValues("value").Inc()
+		p.Step(ctx, now, control.Value{Number: a.Number, StoreRevision: a.Value.StoreRevision, Data: a.Value.Data})
+	}
+}
+
+// Instances takes one read of the instance list. Only entries matter here.
+func (p *Peering) Instances(ctx context.Context, now time.Time, list []platform.Instance) {
+	var members []message.Member
+	for _, i := range list {
+		if i.Kind == string(message.RoleEntry) && i.State == platform.Live {
+			members = append(members, message.Member{Instance: i.Name, Role: message.RoleEntry, Domain: i.Domain, Address: i.Address})
+		}
+	}
+	p.Step(ctx, now, control.Instances{Members: members, Total: len(list)})
+}
+
+// Targets returns the entries to which an entry should hold links.
+func (p *Peering) Targets(round uint64) []membership.Target { return p.node.Targets(round) }
+
+// Linked reports whether a link to the peer is open.
+func (p *Peering) Linked(id ident.InstanceID) bool { return len(p.links[id]) > 0 }
+
+// Entries returns the entries that are believed alive, this one included.
+func (p *Peering) Entries() []ident.InstanceID { return p.node.Members().Entries() }
+
+// Digest returns the digest of the record in force.
+func (p *Peering) Digest() message.Digest { return p.node.Digest() }
+
+// Ready reports whether the process has asked its peers and holds a record.
+func (p *Peering) Ready() bool { return p.ready }
+
+// Status describes the record for /readyz: the one in force and the latest
+// refusal.
+func (p *Peering) Status() string {
+	text := "no record in force"
+	if d := p.node.Digest(); d != (message.Digest{}) {
+		text = "record " + Name(d) + " in force"
+	}
+	if p.refusal != "" {
+		text += "; refused record " + p.refusal
+	}
+	if p.node.Members().CutOff() {
+		text += "; cut off from other entries, so no orders are sent"
+	}
+	return text
+}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -19,14 +19,8 @@
 // storeRevisionHeader carries the revision of the store as a whole.
 const storeRevisionHeader = "Anvilpoint-Store-Revision"
 
-// Timing of the configuration watch.
-const (
-	watchWait  = "25s"
-	watchLimit = 30 * time.Second
-	readLimit  = 5 * time.Second
-	firstPause = 200 * time.Millisecond
-	maxPause   = 5 * time.Second
-)
+// readLimit bounds one read of the instance list.
+const readLimit = 5 * time.Second
 
 // maxValueBytes is the largest value of the configuration service.
 const maxValueBytes = 1 << 20
@@ -40,63 +34,20 @@
 	Err error
 }
 
-// ConfigWatch is the task that reads the record and then waits for changes.
-type ConfigWatch struct {
-	// URL is the base URL of the configuration service.
-	URL    string
-	Client *http.Client
-	// Deliver receives each value and each failure. It may block.
-	Deliver func(ctx context.Context, v Value)
-	// Random spreads the pauses after failures. The task owns it.
-	Random *rand.Rand
-}
-
-// Run watches until the context ends.
-func (w *ConfigWatch) Run(ctx context.Context) error {
-	var after uint64
-	known := false
-	pause := firstPause
-	for ctx.Err() == nil {
-		value, changed, err := w.read(ctx, after, known)
-		if err != nil {
-			w.Deliver(ctx, Value{Err: err})
-			if !sleep(ctx, jitter(w.Random, pause)) {
-				return nil
-			}
-			pause = min(2*pause, maxPause)
-			// The next read does not wait: the store may have been replaced and
-			// its revision may be behind the one that was seen last.
-			known = false
-			continue
-		}
-		pause = firstPause
-		known = true
-		if changed {
-			after = value.StoreRevision
-			w.Deliver(ctx, value)
-		}
-	}
-	return nil
-}
-
-func (w *ConfigWatch) read(ctx context.Context, after uint64, wait bool) (Value, bool, error) {
-	url := w.URL + "/v1/values/" + RecordKey
-	limit := readLimit
-	if wait {
-		url += "?after=" + strconv.FormatUint(after, 10) + "&wait=" + watchWait
-		limit = watchLimit
-	}
-	limited, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	response, err := get(limited, w.Client, url)
+// fetch reads the value at the URL. The second result is false if the service
+// has nothing newer; the store's revision is then set if the service names it.
+func fetch(ctx context.Context, client *http.Client, url string) (Value, bool, error) {
+	response, err := get(ctx, client, url)
 	if err != nil {
 		return Value{}, false, err
 	}
 	defer response.Body.Close()
 	switch response.StatusCode {
 	case http.StatusOK:
-	case http.StatusNotModified:
-		return Value{}, false, nil
+	case http.StatusNotModified, http.StatusNotFound:
+		// Without the header the revision stays 0, which means that it is not known.
+		revision, _ := strconv.ParseUint(response.Header.Get(storeRevisionHeader), 10, 64)
+		return Value{StoreRevision: revision}, false, nil
 	default:
 		return Value{}, false, errors.Errorf("configuration service answered %s", response.Status)
 	}
--- a/internal/sidecar/booking_links.go
+++ b/internal/sidecar/booking_links.go
@@ -11,17 +11,13 @@
 )
 
 // assembleBookings makes the bookings task and its links to other sidecars.
-func (p *process) assembleBookings() error {
+func (p *process) assembleBookings() {
 	s := p.options.Settings
-	tlsConfig, err := link.TLSConfig(s.TLS)
-	if err != nil {
-		return err
-	}
 	seed := uint64(p.start)
 	dial := func(ctx context.Context, address string) {
 		seed++
 		dialer := &link.Dialer{
-			Config: p.config, Address: address, Network: p.options.Network, TLS: tlsConfig,
+			Config: p.config, Address: address, Network: p.options.Network, TLS: p.certificates,
 			Random: rand.New(rand.NewPCG(seed, 3)),
 		}
 		p.group.Go("link to "+address, func(context.Context) error { return dialer.Run(ctx) })
@@ -33,7 +29,6 @@
 		group: p.group, service: service.New(s.Backend.URL, platform.Client(p.options.Network)),
 		bookings: b.mailbox, queue: p.queue.mailbox,
 	}
-	return nil
 }
 
 // deliverBookings passes the frames of bookings on.
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/anvilpoint/anvilpoint/chart"
 	"github.com/anvilpoint/anvilpoint/internal/charts"
+	nodecontrol "github.com/anvilpoint/anvilpoint/internal/control"
 	"github.com/anvilpoint/anvilpoint/internal/engine"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
@@ -15,6 +16,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/operations"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/peering"
 	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/record"
 	"github.com/anvilpoint/anvilpoint/task"
@@ -29,10 +31,10 @@
 type controlMessage interface{ isControlMessage() }
 
 type (
-	linkEvent   struct{ event link.Event }
-	configValue struct{ value platform.Value }
-	listValue   struct{ list platform.List }
-	engineLoad  struct {
+	linkEvent  struct{ event link.Event }
+	listValue  struct{ list platform.List }
+	configRead struct{ answer platform.ReadAnswer }
+	engineLoad struct {
 		load engine.Load
 		err  error
 	}
@@ -44,8 +46,8 @@
 )
 
 func (linkEvent) isControlMessage()    {}
-func (configValue) isControlMessage()  {}
 func (listValue) isControlMessage()    {}
+func (configRead) isControlMessage()   {}
 func (engineLoad) isControlMessage()   {}
 func (stopProcess) isControlMessage()  {}
 func (askReadiness) isControlMessage() {}
@@ -59,10 +61,13 @@
 	grace    time.Duration
 	instance ident.InstanceID
 	snapshot *record.Snapshot
-	refused  string
-	links    map[*link.Link]struct{}
-	load     engine.Load
-	loadAt   time.Time
+	peering  *peering.Peering
+	// peersAsked says that the process holds a record and has asked its peers for
+	// a newer one.
+	peersAsked bool
+	links      map[*link.Link]struct{}
+	load       engine.Load
+	loadAt     time.Time
 	// leavingList and leavingServer are what the platform and the backend server
 	// say; the chart decides what follows.
 	leavingList   bool
@@ -134,8 +139,10 @@
 	switch m := m.(type) {
 	case linkEvent:
 		c.linkEvent(ctx, now, m.event)
-	case configValue:
-		c.value(ctx, now, m.value)
+	case configRead:
+		c.peering.Read(ctx, now, m.answer)
+	case orderAnswer:
+		c.peering.Step(ctx, now, nodecontrol.Engine{Message: m.message})
 	case listValue:
 		c.list(ctx, now, m.list)
 	case engineLoad:
@@ -154,6 +161,7 @@
 }
 
 func (c *control) linkEvent(ctx context.Context, now time.Time, e link.Event) {
+	c.peering.Link(ctx, now, e)
 	switch e.Kind {
 	case link.Up:
 		c.links[e.Link] = struct{}{}
@@ -170,34 +178,24 @@
 	return c.snapshot.Digest
 }
 
-// value takes a value of the configuration service. Only a newer record is put
-// in force; a refused one changes nothing.
-func (c *control) value(ctx context.Context, now time.Time, v platform.Value) {
-	if v.Err != nil {
-		c.logger.Warn().Err(v.Err).Msg("configuration service")
-		return
-	}
-	snapshot, faults := record.Parse("configuration service", v.Data)
-	if len(faults) > 0 {
-		c.refused = faults[0].String()
-		c.metrics.badValue.Inc()
-		c.logger.Error().Str("fault", c.refused).Msg("configuration record refused")
-		return
-	}
-	c.refused = ""
-	if c.snapshot != nil && !c.snapshot.Digest.Less(snapshot.Digest) {
-		return
-	}
+// adopt puts a record in force: one immutable snapshot for all tasks.
+func (c *control) adopt(ctx context.Context, snapshot *record.Snapshot) {
 	c.snapshot = snapshot
-	c.metrics.record.Set(float64(snapshot.Digest.Revision))
-	c.events.Emit(eventlog.Event{Name: "record.adopted", Revision: snapshot.Digest.Revision})
 	if c.groupRecords != nil {
 		c.groupRecords.Send(ctx, snapshot)
 	}
 	c.queue.Send(ctx, setShares{snapshot: snapshot})
 	c.tellBookings(bookingRecord{snapshot: snapshot})
-	c.becomeReady(now)
-	c.beat(ctx, now)
+	c.beat(ctx, time.Now())
+}
+
+// model returns the model that the record gives to a replica, and its size.
+func (c *control) model(server ident.ServerID) (ident.ModelName, int64) {
+	if c.snapshot == nil {
+		return "", 0
+	}
+	m := c.snapshot.Models[c.snapshot.Replicas[server].Model]
+	return m.Name, m.Bytes
 }
 
 // tellBookings passes a message on beside a plain service.
@@ -210,7 +208,7 @@
 // becomeReady leaves the starting state once the record and, beside an engine,
 // its first load report are known.
 func (c *control) becomeReady(now time.Time) {
-	if c.snapshot == nil || (c.hasEngine && c.loadAt.IsZero()) {
+	if !c.peersAsked || (c.hasEngine && c.loadAt.IsZero()) {
 		return
 	}
 	if _, ok := c.life.Fire(now, "configured"); ok && c.ready != nil {
@@ -228,6 +226,7 @@
 			c.leavingList = i.State == platform.Leaving
 		}
 	}
+	c.peering.Instances(ctx, now, l.Instances)
 	c.tellBookings(bookingList{list: l})
 	c.leave(ctx, now)
 }
@@ -258,6 +257,7 @@
 }
 
 func (c *control) tick(ctx context.Context, now time.Time) {
+	c.peering.Step(ctx, now, nodecontrol.Tick{})
 	c.beat(ctx, now)
 	if c.life.In("draining") && c.idle(ctx) {
 		c.life.Fire(now, "drained")
@@ -313,9 +313,6 @@
 }
 
 func (c *control) readiness() operations.Readiness {
-	text := c.life.State()
-	if c.refused != "" {
-		text += "; refused record: " + c.refused
-	}
+	text := c.life.State() + "; " + c.peering.Status()
 	return operations.Readiness{Ready: c.life.In("ready"), Text: text}
 }
--- a/internal/sidecar/groupassemble.go
+++ b/internal/sidecar/groupassemble.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"math/rand/v2"
 
 	"github.com/anvilpoint/anvilpoint/internal/link"
@@ -30,13 +29,13 @@
 }
 
 // serveGroup starts the tasks of the group.
-func (p *process) serveGroup(tlsConfig *tls.Config) {
+func (p *process) serveGroup() {
 	if p.expertGroup == nil {
 		return
 	}
 	random := rand.New(rand.NewPCG(uint64(p.start), 4))
 	p.expertGroup.links = newGroupLinks(p.group.Context(), func(ctx context.Context, address string) {
-		dialer := &link.Dialer{Config: p.config, Address: address, Network: p.options.Network, TLS: tlsConfig,
+		dialer := &link.Dialer{Config: p.config, Address: address, Network: p.options.Network, TLS: p.certificates,
 			Random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))}
 		p.group.Go("rank link", func(context.Context) error { return dialer.Run(ctx) })
 	})
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -9,8 +9,6 @@
 	chunks   prometheus.Counter
 	held     prometheus.Gauge
 	links    *prometheus.CounterVec
-	record   prometheus.Gauge
-	badValue prometheus.Counter
 	bookings *prometheus.CounterVec
 	keys     prometheus.Gauge
 }
@@ -30,12 +28,6 @@
 		links: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "anvilpoint_link_closed_total", Help: "Links that ended, by reason.",
 		}, []string{"reason"}),
-		record: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "anvilpoint_record_revision", Help: "Revision of the configuration record in force.",
-		}),
-		badValue: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "anvilpoint_record_refused_total", Help: "Configuration records that were refused.",
-		}),
 	}
 	m.bookings = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "anvilpoint_sidecar_bookings_total", Help: "Answers to booking calls, by outcome and reason.",
@@ -44,6 +36,6 @@
 		Name: "anvilpoint_sidecar_booking_keys", Help: "Idempotency keys in the key table.",
 	})
 	m.registry.MustRegister(m.bookings, m.keys)
-	m.registry.MustRegister(m.refused, m.chunks, m.held, m.links, m.record, m.badValue)
+	m.registry.MustRegister(m.refused, m.chunks, m.held, m.links)
 	return m
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/network"
 	"github.com/anvilpoint/anvilpoint/internal/operations"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/peering"
 	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/service"
 	"github.com/anvilpoint/anvilpoint/internal/settings"
@@ -58,12 +60,15 @@
 	queue   *queue
 	streams *streams
 	control *control
+	reader  *platform.Reader
 	// bookings is nil beside an engine.
 	bookings *bookings
 	engine   *engine.Engine
 	// expertGroup is nil beside a plain service.
 	expertGroup *groupTask
 	start       ident.Incarnation
+	// certificates is nil for plain text.
+	certificates *link.Certificates
 }
 
 // Run runs a sidecar until the context ends, drains it, and returns.
@@ -100,6 +105,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.certificates, err = link.NewCertificates(o.Settings.TLS); err != nil {
+		return nil, err
+	}
 	p.config = link.Config{
 		Codec: c, Clock: o.Events.Clock(), Hello: p.hello, Accepts: accepts, Deliver: p.deliver,
 		Closed: func(reason string) { p.metrics.links.WithLabelValues(reason).Inc() },
@@ -112,9 +120,7 @@
 		return nil, err
 	}
 	if p.engine == nil {
-		if err := p.assembleBookings(); err != nil {
-			return nil, err
-		}
+		p.assembleBookings()
 	}
 	calls := &caller{group: p.group, backend: backend, queue: p.queue.mailbox, streams: p.streams.mailbox}
 	p.queue.start, p.queue.streams = calls.start, p.streams.mailbox
@@ -131,10 +137,35 @@
 	c.logger, c.events, c.metrics, c.ready = p.options.Logger, p.options.Events, p.metrics, p.options.Ready
 	c.hasEngine, c.bookings = p.engine != nil, p.bookings
 	p.control = c
+	p.assemblePeering(now)
 	p.assembleGroup()
 	return nil
 }
 
+// assemblePeering joins the control task to the other processes. The entries
+// linked to a sidecar push the record to it.
+func (p *process) assemblePeering(now time.Time) {
+	s, c := p.options.Settings, p.control
+	p.reader = platform.NewReader(s.ConfigService, platform.Client(p.options.Network), func(ctx context.Context, a platform.ReadAnswer) {
+		c.mailbox.Send(ctx, configRead{answer: a})
+	})
+	config := peering.Config{
+		Self: s.Instance, Role: message.RoleSidecar, Domain: s.Domain, Address: s.LinkListen,
+		Server: s.Backend.Server, Incarnation: p.start, Seed: int64(p.start),
+		Logger: p.options.Logger, Events: p.options.Events, Metrics: peering.NewMetrics(p.metrics.registry),
+		InForce: c.adopt, Reader: p.reader,
+		Ready: func() {
+			c.peersAsked = true
+			c.becomeReady(time.Now())
+		},
+	}
+	if p.engine != nil {
+		o := &orderer{engine: p.engine, group: p.group, control: c.mailbox, model: func() (ident.ModelName, int64) { return c.model(s.Backend.Server) }}
+		config.SendsOrders, config.ReadBack, config.Order = true, o.readBack, o.send
+	}
+	c.peering = peering.New(now, config)
+}
+
 func (p *process) backend() (backend, int) {
 	client := platform.Client(p.options.Network)
 	b := p.options.Settings.Backend
@@ -172,7 +203,7 @@
 
 // deliver passes what arrived on a link to the task that it concerns.
 func (p *process) deliver(ctx context.Context, e link.Event) {
-	if e.Kind != link.Received {
+	if e.Kind != link.Received || slices.ContainsFunc(e.Messages, peering.Concerns) {
 		p.control.mailbox.Send(ctx, linkEvent{event: e})
 	}
 	if e.Kind == link.Down {
@@ -195,10 +226,9 @@
 }
 
 func (p *process) serve(links, ops net.Listener) error {
-	s := p.options.Settings
-	tlsConfig, err := link.TLSConfig(s.TLS)
-	if err != nil {
-		return err
+	if p.certificates != nil {
+		p.certificates.Failed = func(err error) { p.options.Logger.Error().Err(err).Msg("the changed certificate is not used") }
+		p.group.Go("certificates", p.certificates.Run)
 	}
 	p.group.Go("run queue", p.queue.run)
 	p.group.Go("streams", p.streams.run)
@@ -206,12 +236,12 @@
 		p.group.Go("bookings", p.bookings.run)
 	}
 	p.group.Go("link listener", func(ctx context.Context) error {
-		return operations.Serve(ctx, link.Listener(links, tlsConfig), link.Accept(ctx, p.config))
+		return operations.Serve(ctx, link.Listener(links, p.certificates), link.Accept(ctx, p.config))
 	})
 	p.group.Go("operations listener", func(ctx context.Context) error {
 		return operations.Serve(ctx, ops, operations.Handler(p.metrics.registry, p.readiness))
 	})
-	p.serveGroup(tlsConfig)
+	p.serveGroup()
 	p.watchPlatform()
 	return nil
 }
@@ -220,12 +250,10 @@
 	s := p.options.Settings
 	client := platform.Client(p.options.Network)
 	seed := uint64(p.start)
-	watch := &platform.ConfigWatch{URL: s.ConfigService, Client: client, Random: rand.New(rand.NewPCG(seed, 1)),
-		Deliver: func(ctx context.Context, v platform.Value) { p.control.mailbox.Send(ctx, configValue{value: v}) }}
-	p.group.Go("configuration watch", watch.Run)
 	list := &platform.ListPoll{URL: s.InstanceList, Client: client, Random: rand.New(rand.NewPCG(seed, 2)),
 		Deliver: func(ctx context.Context, l platform.List) { p.control.mailbox.Send(ctx, listValue{list: l}) }}
 	p.group.Go("instance list", list.Run)
+	p.group.Go("configuration reads", p.reader.Run)
 	if p.engine == nil {
 		return
 	}
