--- a/internal/decide/admission/estimate.go
+++ b/internal/decide/admission/estimate.go
@@ -8,38 +8,36 @@
 )
 
 // capacity estimates the cost per second that the backend server gets done
-// when it has enough work. Rates measured without a backlog say nothing about
-// capacity, so they only ever raise the estimate.
+// when all its slots are in use. Rates measured with free slots say nothing
+// about capacity, so they only ever raise the estimate.
 type capacity struct {
 	finished meter
 	measured float64
+	// seen says that a rate was measured with all slots in use.
+	seen bool
 }
 
-// capacityGain is the weight of one measurement taken under backlog.
+// capacityGain is the weight of one measurement taken with all slots in use.
 const capacityGain = 0.05
 
-func (c *capacity) begin(now time.Time, running int) {
-	if running == 0 && c.finished.last.IsZero() {
-		c.finished.last = now
-	}
-}
-
-func (c *capacity) end(now time.Time, _ int, cost float64, backlogged bool) {
+func (c *capacity) end(now time.Time, cost float64, full bool) {
 	c.finished.add(now, cost)
 	rate := c.finished.rate(now)
 	switch {
 	case rate > c.measured:
 		c.measured = rate
-	case backlogged:
+	case full && c.seen:
 		c.measured += capacityGain * (rate - c.measured)
 	}
+	c.seen = c.seen || full && rate >= c.measured
 }
 
-// estimate returns cost per second, at least a tenth of the configured rate so
-// that a stall does not refuse everything for ever.
+// estimate returns cost per second: the configured rate or more until the
+// capacity has been measured, and at least a tenth of it afterwards, so that a
+// stall does not refuse everything for ever.
 func (c *capacity) estimate(config Config) float64 {
-	if c.measured == 0 {
-		return config.Rate
+	if !c.seen {
+		return max(c.measured, config.Rate)
 	}
 	return max(c.measured, config.Rate/10)
 }
@@ -62,17 +60,11 @@
 	return max(total-taken, s.lanes[n].share*total, total/100)
 }
 
-// wait estimates how long the item would queue: its account's own backlog at
-// the account's fair rate, or the whole lane's backlog if that is less.
+// wait estimates how long the item would queue: until the work that fair
+// queueing puts before it is done.
 func (s *Scheduler) wait(now time.Time, w *work) time.Duration {
 	l := s.lanes[w.lane]
-	rate := s.laneRate(now, w.lane)
-	whole := float64(l.cost) / rate
-	var own float64
-	if a := l.accounts[w.item.Account]; a != nil {
-		own = float64(a.cost) * l.weights(w.item) / (w.item.Weight * rate)
-	}
-	return time.Duration(min(whole, own) * float64(time.Second))
+	return time.Duration(l.before(w.item) / s.laneRate(now, w.lane) * float64(time.Second))
 }
 
 // refuse applies the early refusals: a deadline that cannot be met, and a queue
@@ -81,6 +73,8 @@
 	wait := s.wait(now, w)
 	l := s.lanes[w.lane]
 	switch {
+	case w.item.Impatient && (l.items > 0 || !s.slotFor(w.lane)):
+		return outcome.ReasonBusy, 0
 	case now.Add(wait).After(w.item.Deadline):
 		return s.overReason(w, outcome.ReasonDeadline), clampRetry(now.Add(wait).Sub(w.item.Deadline))
 	case l.maxWait > 0 && wait > l.maxWait:
@@ -110,6 +104,10 @@
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
+// reportInterval is the time for which a credit must last: until the next
+// heartbeat.
+const reportInterval = time.Second
+
 // defaultWindow is the wait in each class's queue up to which entries get
 // credit when the configuration gives no bound.
 const defaultWindow = 2 * time.Second
@@ -125,7 +123,7 @@
 		if wait == 0 {
 			wait = defaultWindow
 		}
-		room := s.laneRate(now, lane)*wait.Seconds() - float64(s.lanes[lane].cost)
+		room := s.laneRate(now, lane)*(wait+reportInterval).Seconds() - float64(s.lanes[lane].cost)
 		window[n] = int64(max(0, room)) / int64(max(1, entries))
 	}
 	return window
