--- a/internal/load/controlsim/link.go
+++ b/internal/load/controlsim/link.go
@@ -154,6 +154,7 @@
 	t.Busy += time.Since(begin)
 	size := uint64(len(frame) + frameOverhead)
 	t.Bytes += size
+	t.Frames += uint64(len(frame) + 4)
 	t.ByKind[message.KindOf(m)] += size
 	return decoded.Message
 }
--- a/internal/load/controlsim/process.go
+++ b/internal/load/controlsim/process.go
@@ -191,16 +191,41 @@
 	}
 }
 
+// subset returns the servers to which an entry links. As in the product, each
+// replica of a large installation chooses its entries.
 func (p *Process) subset(s *record.Snapshot) []ident.ServerID {
-	servers := make([]ident.ServerID, 0, len(s.Replicas))
-	for id := range s.Replicas {
-		servers = append(servers, id)
-	}
-	if p.world.Config.Subset == 0 || p.world.Config.Subset >= len(servers) {
+	if p.world.Config.Subset == 0 {
+		servers := make([]ident.ServerID, 0, len(s.Replicas))
+		for id := range s.Replicas {
+			servers = append(servers, id)
+		}
 		slices.Sort(servers)
 		return servers
 	}
-	return rendezvous.Top(string(p.ID), servers, p.world.Config.Subset)
+	return p.world.subsets()[p.ID]
+}
+
+// subsets are the choices of all replicas, with every entry alive.
+func (w *World) subsets() map[ident.InstanceID][]ident.ServerID {
+	if w.chosen != nil {
+		return w.chosen
+	}
+	var entries []ident.InstanceID
+	for _, p := range w.Processes {
+		if p.Role == message.RoleEntry {
+			entries = append(entries, p.ID)
+		}
+	}
+	w.chosen = make(map[ident.InstanceID][]ident.ServerID)
+	for _, p := range w.Processes {
+		if p.Role != message.RoleSidecar {
+			continue
+		}
+		for _, entry := range rendezvous.Top(string(p.Server), entries, w.Config.Subset) {
+			w.chosen[entry] = append(w.chosen[entry], p.Server)
+		}
+	}
+	return w.chosen
 }
 
 func (p *Process) carryOut(o control.Out) {
--- a/internal/load/controlsim/world.go
+++ b/internal/load/controlsim/world.go
@@ -23,7 +23,7 @@
 	Domains  int
 	Entries  int
 	Sidecars int
-	// Subset is the number of sidecars to which one entry links; 0 is all.
+	// Subset is the number of entries that link to one sidecar; 0 is all.
 	Subset int
 	// Loss is the share of messages that are lost, on links and on answers of the
 	// configuration service.
@@ -60,6 +60,7 @@
 	Blocked func(from, to *Process) bool
 	byID    map[ident.InstanceID]*Process
 	values  *valueStore
+	chosen  map[ident.InstanceID][]ident.ServerID
 	codec   *codec.Codec
 	queue   eventQueue
 	serial  uint64
@@ -67,7 +68,10 @@
 
 // Traffic counts the messages of the whole world.
 type Traffic struct {
-	Messages, Lost, Bytes uint64
+	Messages, Lost uint64
+	// Frames are the bytes of the encoded messages. Bytes adds the headers of a
+	// link that carries nothing else.
+	Frames, Bytes uint64
 	// ByKind are the bytes by kind of message.
 	ByKind map[message.Kind]uint64
 	// Busy is the processor time spent in decisions and encoding.
