balance: repack a few ranks where no single move helps

Change: when no exchange or copy helps, try a copy followed by further moves, and repacks of the slowest and fastest ranks with up to three more copies of the hottest experts; keep the one with the greatest gain per copy. A gain counts over 10,000 steps, since popularity drifts over hours.

--- a/internal/decide/balance/figures_test.go
+++ b/internal/decide/balance/figures_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"flag"
 	"math/rand/v2"
 	"sort"
 	"testing"
@@ -21,6 +22,11 @@
 	tokens        = 2_400_000
 )
 
+var (
+	intervals  = flag.Int("balance.intervals", 720, "intervals of 30 s in the figures; 2880 are a day")
+	figureSeed = flag.Uint64("balance.seed", 1, "seed of the figures")
+)
+
 // contender is one way of keeping a map, with what it cost and what it gave.
 type contender struct {
 	layers []expertmap.Layer
@@ -160,8 +166,8 @@
 // one seed gives the same figures each time.
 func TestFiguresOfADay(t *testing.T) {
 	for _, slow := range []float64{1, 0.7} {
-		d := newDay(1, 2, slow)
-		d.run(720)
+		d := newDay(*figureSeed, 2, slow)
+		d.run(*intervals)
 		n := float64(len(d.planned.over))
 		gain := (d.static.time - d.planned.time) / (d.static.time - d.scratch.time)
 		for name, c := range map[string]contender{"static": d.static, "scratch": d.scratch, "planned": d.planned} {
--- a/internal/decide/balance/plan.go
+++ b/internal/decide/balance/plan.go
@@ -27,7 +27,8 @@
 	Target  float64
 	// CopyCost is the cost of moving one expert copy, in steps of mean length.
 	CopyCost float64
-	// Horizon is the number of steps over which a gain is counted.
+	// Horizon is the number of steps over which a gain is counted. Popularity
+	// drifts over hours, so a gain outlasts several plans.
 	Horizon float64
 	// MaxCopies bounds the copies that one portion moves, and with it the search
 	// in one layer.
@@ -36,7 +37,7 @@
 
 // DefaultConfig returns limits that suit a plan every 30 s.
 func DefaultConfig() Config {
-	return Config{Trigger: 1.05, Target: 1.02, CopyCost: 2, Horizon: 2000, MaxCopies: 64}
+	return Config{Trigger: 1.05, Target: 1.02, CopyCost: 2, Horizon: 10000, MaxCopies: 64}
 }
 
 // Input is what a plan is made from.
@@ -139,8 +140,13 @@
 	}
 	skews := []float64{result.before}
 	// A portion moves at most MaxCopies, so a longer search would be thrown away.
+	escapes := 0
 	for copies := 0; copies < in.Config.MaxCopies && skews[len(skews)-1] > in.Config.Target; {
 		m, ok := s.best()
+		if !ok && escapes < maxEscapes {
+			escapes++
+			m, ok = s.escape()
+		}
 		if !ok {
 			break
 		}
