sidecar: space the plans of large groups

Cause: a switch of 64 slots costs a leader of 256 ranks 220 KB; every 5 s this would be 44 KB/s.

Change: plans are at least 5 s and half a second for each rank apart (128 s with 256 ranks), beats 50 ms for each rank.

--- a/internal/decide/expertmap/figures_test.go
+++ b/internal/decide/expertmap/figures_test.go
@@ -14,6 +14,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/decide/balance"
 	"github.com/anvilpoint/anvilpoint/internal/decide/expertmap"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/standin/group"
 )
 
@@ -22,6 +23,8 @@
 	engineCall = time.Millisecond
 	stepTime   = 20 * time.Millisecond
 	loadTime   = 200 * time.Millisecond
+	// framing is the length before a frame and the WebSocket header.
+	framing = 8
 )
 
 // event is something that happens at a time in the timed runs.
@@ -67,9 +70,9 @@
 		size := time.Duration(n)
 		w.nodes = append(w.nodes, expertmap.New(w.now, expertmap.Config{Rank: rank, Ranks: n, Incarnation: ident.Incarnation(r + 1),
 			Initial: balance.Initial(layers, experts, balance.Slots(n, experts, spare)), ChecksFencing: true,
-			Beat: max(time.Second, size*40*time.Millisecond), Retry: max(200*time.Millisecond, size*4*time.Millisecond),
+			Beat: max(time.Second, size*50*time.Millisecond), Retry: max(200*time.Millisecond, size*4*time.Millisecond),
 			Patience: max(time.Second, size*10*time.Millisecond), LoadPatience: 30 * time.Second,
-			Takeover: max(3*time.Second, size*120*time.Millisecond), Margin: 3}))
+			Takeover: max(3*time.Second, size*150*time.Millisecond), Margin: 3}))
 		w.after(0, func() { w.step(rank, w.engines.State(rank)) })
 	}
 	w.after(stepTime, w.boundary)
@@ -137,8 +140,10 @@
 func (w *timed) send(from ident.Rank, a expertmap.Send) {
 	payload, err := w.codec.EncodePayload(a.Wire)
 	must.NoError(w.t, err)
-	w.sent[from] += len(payload)
-	w.received[a.To] += len(payload)
+	frame, err := w.codec.Encode(message.Envelope{Message: &message.Group{Group: "group-0", From: from, To: a.To, Payload: payload}})
+	must.NoError(w.t, err)
+	w.sent[from] += len(frame) + framing
+	w.received[a.To] += len(frame) + framing
 	w.after(w.jitter(oneWay), func() {
 		var wire expertmap.Wire
 		must.NoError(w.t, w.codec.DecodePayload(payload, &wire))
--- a/internal/sidecar/group.go
+++ b/internal/sidecar/group.go
@@ -25,11 +25,11 @@
 	// enginePollInterval is how often the engine's state is read. It bounds how
 	// late a restarted engine is noticed.
 	enginePollInterval = 250 * time.Millisecond
-	// planInterval is the time between two plans of the leader.
-	planInterval = 5 * time.Second
-	// loadWindow smooths the work by expert. It spans several plans, so that the
-	// noise of one sample moves no expert.
-	loadWindow = 3 * planInterval
+	// minPlanInterval is the least time between two plans of the leader, and
+	// planIntervalPerRank lengthens it: the leader sends each change to every rank,
+	// so switches of 256 ranks must be 128 s apart to stay within 4 KB/s.
+	minPlanInterval     = 5 * time.Second
+	planIntervalPerRank = 500 * time.Millisecond
 	// speedRecovery is how long a rank that was slow is still planned as slow.
 	speedRecovery = 5 * time.Minute
 )
@@ -176,9 +176,9 @@
 	n := time.Duration(len(m.group.Ranks))
 	c := expertmap.Config{
 		Rank: m.rank, Ranks: len(m.group.Ranks), Incarnation: ident.NewIncarnation(now), Initial: initial, ChecksFencing: m.checks,
-		Beat:  max(time.Second, n*40*time.Millisecond),
+		Beat:  max(time.Second, n*50*time.Millisecond),
 		Retry: max(200*time.Millisecond, n*4*time.Millisecond), Patience: max(time.Second, n*10*time.Millisecond),
-		LoadPatience: 30 * time.Second, Takeover: max(3*time.Second, n*120*time.Millisecond), Margin: switchMargin,
+		LoadPatience: 30 * time.Second, Takeover: max(3*time.Second, n*150*time.Millisecond), Margin: switchMargin,
 	}
 	if !m.checks {
 		c.Settle = settleTime
--- a/internal/sidecar/grouplinks.go
+++ b/internal/sidecar/grouplinks.go
@@ -11,7 +11,7 @@
 )
 
 // idleLink is how long a link to another rank stays open without a message.
-// The leader's beats, at most every 10.24 s with 256 ranks, keep its links open.
+// The leader's beats, at most every 12.8 s with 256 ranks, keep its links open.
 const idleLink = 30 * time.Second
 
 // groupLinks are the links to the other ranks. In normal operation only the
--- a/internal/sidecar/groupplan.go
+++ b/internal/sidecar/groupplan.go
@@ -17,6 +17,7 @@
 	estimate *balance.Estimate
 	speeds   *balance.Speeds
 	config   balance.Config
+	interval time.Duration
 	at       time.Time
 	// last are the counters of the last sample, of the engine's start boot.
 	boot    uint64
@@ -24,11 +25,17 @@
 	sampled bool
 }
 
+// windowPlans is the number of plan intervals over which the work is smoothed, so
+// that the noise of one sample moves no expert.
+const windowPlans = 3
+
 func newPlanner(m membership, now time.Time) planner {
+	interval := max(minPlanInterval, time.Duration(len(m.group.Ranks))*planIntervalPerRank)
 	return planner{
-		estimate: balance.NewEstimate(m.group.Layers, m.group.Experts, loadWindow),
+		estimate: balance.NewEstimate(m.group.Layers, m.group.Experts, windowPlans*interval),
+		interval: interval,
 		speeds:   balance.NewSpeeds(len(m.group.Ranks), speedRecovery),
-		config:   balance.DefaultConfig(), at: now.Add(planInterval),
+		config:   balance.DefaultConfig(), at: now.Add(interval),
 	}
 }
 
@@ -91,7 +98,7 @@
 	if !p.due(now) || !p.sampled {
 		return
 	}
-	p.at, p.sampled = now.Add(planInterval), false
+	p.at, p.sampled = now.Add(p.interval), false
 	p.speeds.Observe(now, relative(t.rank.ComputeMicros()))
 	_, content := t.rank.Map()
 	plan := balance.Make(balance.Input{Config: p.config, Map: content, Load: p.estimate.Load(),
