--- a/internal/decide/routing/replica.go
+++ b/internal/decide/routing/replica.go
@@ -21,6 +21,12 @@
 	slowFactor = 3.0
 	// slowCalls is how many slow calls in the reduced state stop all work.
 	slowCalls = 5
+	// crowding is how much longer a first token takes with all slots in use than
+	// with none, without any queue.
+	crowding = 100 * time.Millisecond
+	// peakDecay forgets a replica's best rate slowly, report by report. A lightly
+	// loaded replica reports a low rate although it could do more.
+	peakDecay = 0.999
 	// firstTokenGain is the weight of one call in the smoothed first-token time.
 	firstTokenGain = 0.2
 	// reducedFactor multiplies the estimated wait of a replica that gets less.
@@ -35,6 +41,31 @@
 	// at tells requests that a report already contains from later ones.
 	at    time.Time
 	class ident.PriorityClass
+	// prompt is the length of the prompt until the first token has come.
+	prompt int64
+}
+
+// spending is the use of the credit of one class.
+type spending struct {
+	total    int64
+	accounts map[ident.ClientAccount]int64
+}
+
+func (s *spending) add(account ident.ClientAccount, cost int64) {
+	if s.accounts == nil {
+		s.accounts = make(map[ident.ClientAccount]int64)
+	}
+	s.total += cost
+	s.accounts[account] += cost
+}
+
+// part is what each account may send even if others have used up the credit.
+func (s *spending) part(window int64, account ident.ClientAccount) int64 {
+	n := len(s.accounts)
+	if _, counted := s.accounts[account]; !counted {
+		n++
+	}
+	return window / int64(n)
 }
 
 // replica is a single server or a group, as this entry sees it.
@@ -46,14 +77,22 @@
 	// slow counts slow calls since the replica got less work.
 	slow    int
 	pending map[ident.RequestID]started
-	cost    int64
 	report  Report
+	// peak is the best rate that the replica reported lately.
+	peak float64
+	// ownRunning is how many requests of this entry the report contains, and
+	// sentSince the cost that it does not contain.
+	ownRunning int
+	sentSince  int64
+	// prompts are the prompt tokens of this entry's requests that have no first
+	// token yet.
+	prompts int64
 	// reported is when the state in the report was true.
 	reported time.Time
 	// firstToken is the smoothed first-token time in seconds.
 	firstToken float64
-	// spent is the cost sent by class since the credit in the report was given.
-	spent [3]int64
+	// spent is the cost sent since the credit in the report was given.
+	spent [3]spending
 	down  map[ident.ServerID]bool
 }
 
@@ -83,41 +122,41 @@
 	return !p.life.In("trial") || len(p.pending) == 0
 }
 
-// wait estimates the time in seconds until new work of the cost is done: what
-// the replica reported, discounted by age, plus what this entry sent since.
-func (p *replica) wait(now time.Time, class ident.PriorityClass, cost int64, defaultRate float64) float64 {
-	rate := p.report.Rate
-	if rate <= 0 {
-		rate = defaultRate
+// wait estimates the time in seconds until new work starts: what the replica
+// reported, discounted by age, plus what this entry has there itself. The
+// entry's own part of the report is replaced by what it knows exactly.
+func (p *replica) wait(now time.Time, class ident.PriorityClass, defaultRate float64) float64 {
+	trust := p.trust(now)
+	foreign := max(0, float64(p.report.Running-p.ownRunning)) * trust
+	busy := foreign + float64(len(p.pending))
+	share := 1.0
+	if p.report.Slots > 0 {
+		share = min(1, busy/float64(p.report.Slots))
 	}
-	age := max(0, now.Sub(p.reported))
-	trust := math.Exp2(-age.Seconds() / reportHalfLife.Seconds())
-	backlog := trust * float64(p.ahead(class))
-	busy := trust * float64(p.report.Running)
-	for _, w := range p.pending {
-		if w.at.After(p.reported) {
-			backlog += float64(w.cost)
-			busy++
-		}
+	seconds := crowding.Seconds() * share
+	if share == 1 {
+		// Only with all slots in use must new work wait for earlier work.
+		seconds += (trust*float64(p.ahead(class)) + float64(p.sentSince)) / max(p.peak, defaultRate)
 	}
-	if p.report.Slots > 0 && busy < float64(p.report.Slots) {
-		// With a free slot only the sharing with the running requests counts.
-		backlog *= busy / float64(p.report.Slots)
-	}
-	seconds := (backlog + float64(cost)) / rate
 	switch {
 	case p.life.In("reduced"):
-		seconds *= reducedFactor
+		seconds = reducedFactor * (seconds + crowding.Seconds())
 	case p.life.In("trial"):
 		// A replica on trial must win sometimes, or it would never come back.
 		seconds = 0
 	}
 	if p.report.Impaired {
-		seconds *= impairedFactor
+		seconds = impairedFactor * (seconds + crowding.Seconds())
 	}
 	return seconds
 }
 
+// trust is the weight of the last report.
+func (p *replica) trust(now time.Time) float64 {
+	age := max(0, now.Sub(p.reported))
+	return math.Exp2(-age.Seconds() / reportHalfLife.Seconds())
+}
+
 // ahead is the reported queue that is at least as urgent as the class.
 func (p *replica) ahead(class ident.PriorityClass) int64 {
 	var sum int64
@@ -130,14 +169,21 @@
 	return sum
 }
 
-// credit reports whether the replica's sidecar lets this entry send the cost.
-// Work larger than the whole window may go when nothing else was sent.
-func (p *replica) credit(class ident.PriorityClass, cost int64) bool {
+// credit reports whether the replica's sidecar lets this entry send the request.
+// An account that has not used its part of the credit may send although others
+// have used up the whole: the sidecar's queue puts it first. One request of
+// each account may go in any case, however large it is.
+func (p *replica) credit(q Request) bool {
 	if !p.report.Credits {
 		return true
 	}
-	n := classIndex(class)
-	return p.spent[n] == 0 && p.report.Window[n] > 0 || p.spent[n]+cost <= p.report.Window[n]
+	n := classIndex(q.Class)
+	s, window := &p.spent[n], p.report.Window[n]
+	if s.total == 0 && window > 0 || s.total+q.Cost <= window {
+		return true
+	}
+	spent := s.accounts[q.Account]
+	return spent == 0 || spent+q.Cost <= s.part(window, q.Account)
 }
 
 func (p *replica) observeFirstToken(after time.Duration) {
--- a/internal/decide/routing/router.go
+++ b/internal/decide/routing/router.go
@@ -18,6 +18,8 @@
 	hints    hints
 	random   *rand.Rand
 	turn     int
+	// busy is the recent share of impatient requests that found no free slot.
+	busy float64
 }
 
 // New returns a router without servers.
@@ -42,7 +44,7 @@
 		r.on(m.Server, func(p *replica) { p.start(now, m.Request) })
 		r.hints.sent(now, m.Server, m.Request.Prefix)
 	case FirstToken:
-		r.on(m.Server, func(p *replica) { r.firstToken(now, p, m.After) })
+		r.on(m.Server, func(p *replica) { r.firstToken(now, p, m) })
 	case Ended:
 		r.on(m.Server, func(p *replica) { p.finish(now, m) })
 	case Stalled:
@@ -53,6 +55,8 @@
 		r.on(m.Server, func(p *replica) { p.setLink(now, m) })
 	case CacheEvent:
 		r.hints.event(now, m)
+	case Answered:
+		r.answered(m)
 	}
 }
 
@@ -102,13 +106,23 @@
 func (p *replica) takeReport(now time.Time, m Report) {
 	p.report = m
 	p.reported = now.Add(-m.Age)
-	p.spent = [3]int64{}
+	p.spent = [3]spending{}
+	p.peak = max(peakDecay*p.peak, m.Rate)
+	p.ownRunning, p.sentSince = 0, 0
+	for _, w := range p.pending {
+		if w.at.After(p.reported) {
+			p.sentSince += w.cost
+		} else {
+			p.ownRunning++
+		}
+	}
 }
 
 func (p *replica) start(now time.Time, request Request) {
-	p.pending[request.ID] = started{cost: request.Cost, at: now, class: request.Class}
-	p.cost += request.Cost
-	p.spent[classIndex(request.Class)] += request.Cost
+	p.pending[request.ID] = started{cost: request.Cost, at: now, class: request.Class, prompt: request.PromptTokens}
+	p.prompts += request.PromptTokens
+	p.sentSince += request.Cost
+	p.spent[classIndex(request.Class)].add(request.Account, request.Cost)
 }
 
 func (p *replica) finish(now time.Time, m Ended) {
@@ -117,7 +131,10 @@
 		return
 	}
 	delete(p.pending, m.Request)
-	p.cost -= work.cost
+	p.prompts -= work.prompt
+	if work.at.After(p.reported) {
+		p.sentSince -= work.cost
+	}
 	switch {
 	case m.Failed:
 		p.life.Fire(now, "failed")
@@ -138,8 +155,13 @@
 }
 
 // firstToken compares a replica with the mean over all replicas.
-func (r *Router) firstToken(now time.Time, p *replica, after time.Duration) {
-	p.observeFirstToken(after)
+func (r *Router) firstToken(now time.Time, p *replica, m FirstToken) {
+	if work, known := p.pending[m.Request]; known {
+		p.prompts -= work.prompt
+		work.prompt = 0
+		p.pending[m.Request] = work
+	}
+	p.observeFirstToken(m.After)
 	sum, n := 0.0, 0
 	for _, other := range r.replicas {
 		if other != p && other.firstToken > 0 {
@@ -160,7 +182,7 @@
 		if p.members[0].Model != q.Model || !p.usable(now) || p.tried(q.Tried) {
 			continue
 		}
-		if p.credit(q.Class, q.Cost) {
+		if p.credit(q) {
 			fit = append(fit, p)
 		}
 	}
--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -5,13 +5,14 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/admission"
 	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
 )
 
 func (q *request) key() entryKey { return entryKey{q.entry, q.load.Class, q.load.Account} }
 
 func (q *request) query() routing.Request {
 	return routing.Request{
-		ID: q.id.Request, Model: "m", Class: q.load.Class, Cost: q.cost(),
+		ID: q.id.Request, Model: "m", Class: q.load.Class, Account: q.load.Account, Cost: q.cost(), PromptTokens: q.prompt,
 		Prefix: q.prefix, PrefixTokens: q.load.PrefixTokens, Tried: q.tried,
 	}
 }
@@ -31,13 +32,14 @@
 		return
 	}
 	r.letGo(q)
+	q.impatient = !r.policy.FCFS && !q.load.Booking && router.Impatient(query)
 	router.Step(r.now, routing.Started{Server: id, Request: query})
 	r.after(hop, func() { r.arrive(r.byID[id], q) })
 }
 
 // holdBack keeps a request at the entry for a while, unless too many wait.
 func (r *run) holdBack(q *request) {
-	late := !r.now.Before(q.arrived.Add(q.load.Deadline))
+	late := !r.now.Before(q.arrived.Add(q.load.Target / entryPart))
 	full := !q.waiting && r.waiting[q.key()] >= entryLimit
 	if late || full {
 		r.letGo(q)
@@ -63,20 +65,23 @@
 	r.controlBytes += answerBytes
 	d := s.queue.Offer(r.now, admission.Item{
 		ID: q.id, Account: q.load.Account, Weight: q.load.Weight, Class: q.load.Class, Booking: q.load.Booking,
-		Cost: q.cost(), Deadline: q.arrived.Add(q.load.Deadline),
+		Impatient: q.impatient, Cost: q.cost(), Deadline: q.arrived.Add(q.load.Deadline),
 	})
 	for _, x := range d.Displaced {
 		r.refuse(s, r.byItem[x.ID], false)
 	}
 	if !d.Queued {
-		r.refuse(s, q, false)
+		r.refuse(s, q, d.Reason == outcome.ReasonBusy)
 		return
 	}
+	if q.impatient {
+		r.after(hop, func() { r.routers[q.entry].Step(r.now, routing.Answered{}) })
+	}
 	r.fill(s)
 }
 
 // refuse tells the entry, which asks another replica.
-func (r *run) refuse(s *server, q *request, final bool) {
+func (r *run) refuse(s *server, q *request, busy bool) {
 	if r.policy.Global {
 		q.refused = true
 		return
@@ -86,7 +91,10 @@
 		q.tried = append(q.tried, s.id)
 		q.id.Attempt++
 		r.byItem[q.id] = q
-		if final || len(q.tried) >= maxRefusals {
+		if busy {
+			r.routers[q.entry].Step(r.now, routing.Answered{Busy: true})
+		}
+		if len(q.tried) >= maxRefusals {
 			q.refused = true
 			return
 		}
