task: never let a mailbox that drops the oldest make its sender wait

Change: the sender drops again until its message is in. Test: TestDropOldestNeverWaits hangs without the change and passes with it under -race.

--- a/task/mailbox.go
+++ b/task/mailbox.go
@@ -77,7 +77,7 @@
 	case RejectNew:
 		return m.sendOrReject(message)
 	case DropOldest:
-		return m.sendOrDrop(ctx, message)
+		return m.sendOrDrop(message)
 	default:
 		return m.sendOrWait(ctx, message)
 	}
@@ -103,20 +103,22 @@
 	}
 }
 
-func (m *Mailbox[M]) sendOrDrop(ctx context.Context, message M) SendResult {
-	select {
-	case m.messages <- message:
-		return Delivered
-	default:
-	}
-	select {
-	case <-m.messages:
-	default:
-	}
-	if result := m.sendOrWait(ctx, message); result != Delivered {
-		return result
+// sendOrDrop never waits. Another sender can take the room that a drop made, so
+// it drops again until its own message is in.
+func (m *Mailbox[M]) sendOrDrop(message M) SendResult {
+	result := Delivered
+	for {
+		select {
+		case m.messages <- message:
+			return result
+		default:
+		}
+		select {
+		case <-m.messages:
+			result = ReplacedOldest
+		default:
+		}
 	}
-	return ReplacedOldest
 }
 
 // Ask sends a request that carries a reply channel and waits for the answer.
--- a/task/task_test.go
+++ b/task/task_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc"
 
 	"github.com/anvilpoint/anvilpoint/task"
 )
@@ -84,3 +85,20 @@
 		must.Eq(t, 3, runs)
 	})
 }
+
+// Guards against a sender that waits forever at a mailbox whose owner does not
+// read, because another sender took the room that its drop had made. A process
+// with hundreds of links could not stop then.
+func TestDropOldestNeverWaits(t *testing.T) {
+	m := task.NewMailbox[int](1, task.DropOldest)
+	var senders conc.WaitGroup
+	for n := range 64 {
+		senders.Go(func() {
+			for k := range 2000 {
+				m.Send(context.Background(), n*2000+k)
+			}
+		})
+	}
+	senders.Wait()
+	must.Eq(t, 1, m.Len())
+}
