entry: cancel nothing once the process ends

Cause: when an entry ended without draining, its HTTP handlers reported their callers as gone, and the dispatch task could still send Cancel to the sidecars; the stream was then lost instead of held (a goroutine dump of TestStreamIsReadOnThroughAnotherEntry showed the refusal right after the kill). Ruled out: expiry of the hold, collision of attempt numbers. Change: the dispatch task handles no message after its context has ended.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -135,6 +135,11 @@
 		timer.Reset(d.timers.wait(time.Now()))
 		select {
 		case m := <-d.mailbox.Receive():
+			// Once the process ends, handlers report their callers as gone. The
+			// streams must live on at their sidecars, so nothing is canceled.
+			if ctx.Err() != nil {
+				return nil
+			}
 			d.step(time.Now(), m)
 		case <-timer.C:
 			d.tick(time.Now())
