entry, sidecar: answer an attached reader before the next piece

A caller that read a stream on and already had every piece so far got no answer until the next piece came, and 503 after 10 s. The sidecar now confirms the attachment and the entry begins the answer. A second new test crashes sidecars twelve times under 24 streams whose engines also break off; all answers are whole.

--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -80,15 +80,19 @@
 	attempt ident.Attempt
 }
 
-// hand passes what is ready to the handler without blocking: the mailbox holds
-// one delivery, and one that was not taken yet is joined with the new one. The
-// dispatch task is the only sender. Credits bound the joined size.
+// hand passes what is ready to the handler.
 func (f *flight) hand(end *ending) {
 	if len(f.ready) == 0 && end == nil {
 		return
 	}
-	d := delivery{id: f.id, first: f.first, pieces: f.ready, end: end}
+	f.put(delivery{id: f.id, first: f.first, pieces: f.ready, end: end})
 	f.ready = nil
+}
+
+// put sends a delivery without blocking: the mailbox holds one delivery, and one
+// that was not taken yet is joined with the new one. The dispatch task is the
+// only sender. Credits bound the joined size.
+func (f *flight) put(d delivery) {
 	select {
 	case waiting := <-f.out:
 		if len(waiting.pieces) > 0 {
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -83,7 +83,7 @@
 		}
 	case *message.Accepted:
 		if f := d.find(l, m.Request, m.Attempt); f != nil {
-			d.advance(now, f, request.Accepted{Attempt: f.life.Attempt()})
+			d.accepted(now, f)
 		}
 	case *message.Refused:
 		if f := d.find(l, m.Request, m.Attempt); f != nil {
@@ -103,6 +103,20 @@
 	}
 }
 
+// accepted notes that the attempt waits at its sidecar. A reader that was
+// attached to a stream is answered at once, since the next piece may be far off.
+func (d *dispatch) accepted(now time.Time, f *flight) {
+	attempt := f.life.Attempt()
+	if f.attach == "" {
+		d.advance(now, f, request.Accepted{Attempt: attempt})
+		return
+	}
+	if !f.life.Answering() {
+		f.put(delivery{id: f.id})
+	}
+	d.advance(now, f, request.Progress{Attempt: attempt})
+}
+
 // find returns the flight whose current attempt on this link the frame is about.
 func (d *dispatch) find(l *link.Link, id ident.RequestID, attempt ident.Attempt) *flight {
 	f, known := d.wires[wireKey{request: id, attempt: attempt}]
--- /dev/null
+++ b/internal/pathtest/crashes_test.go
@@ -0,0 +1,77 @@
+package pathtest_test
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/pathtest"
+)
+
+// Guards against answers that are cut off, mixed or repeated while sidecars
+// crash and come back with a new incarnation again and again, and engines break
+// off at the same time.
+func TestAnswersStayWholeWhileSidecarsCrash(t *testing.T) {
+	const tokens, callers, crashes, seed = 120, 24, 12, 7
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, seed))
+	var backends []pathtest.Backend
+	for _, name := range []string{"e0", "e1", "e2"} {
+		engine := pathtest.NewEngine(pathtest.Behavior{Tokens: tokens, Pause: 10 * time.Millisecond, DieAfter: 70})
+		t.Cleanup(engine.Close)
+		backends = append(backends, engineBackend(name, engine))
+	}
+	f := newFixture(t, backends...)
+	f.start(2)
+	type answer struct {
+		status, last int
+		whole        bool
+	}
+	answers := make(chan answer, callers)
+	for n := range callers {
+		go func() {
+			r := f.complete(n%2, true)
+			last, whole := readStream(t, r.Body, 0, tokens)
+			answers <- answer{r.StatusCode, last, whole}
+		}()
+	}
+	for range crashes {
+		n := random.IntN(len(f.sidecars))
+		f.sidecars[n].Kill()
+		must.NoError(t, <-f.sidecars[n].Done)
+		p, err := f.world.StartSidecar(f.backends[n], f.addresses[n])
+		must.NoError(t, err)
+		f.sidecars[n] = p
+	}
+	for range callers {
+		must.Eq(t, answer{http.StatusOK, tokens, true}, <-answers)
+	}
+}
+
+// Guards against a stream that is lost when its entry's grace period ends: the
+// caller is cut off visibly and reads on through another entry.
+func TestStreamOutlastsItsEntry(t *testing.T) {
+	hold := make(chan struct{})
+	engine := pathtest.NewEngine(pathtest.Behavior{Tokens: 30, Hold: hold, HoldAt: 10})
+	defer engine.Close()
+	f := newFixture(t, engineBackend("e0", engine))
+	f.world.Grace = 200 * time.Millisecond
+	f.start(2)
+	r := f.complete(0, true)
+	f.entries[0].Stop()
+	must.NoError(t, <-f.entries[0].Done)
+	last, whole := readStream(t, r.Body, 0, 30)
+	must.Eq(t, 9, last)
+	must.False(t, whole)
+	path := "/v1/streams/" + r.Header.Get("Anvilpoint-Request-Id")
+	r = f.do(1, http.MethodGet, path, pathtest.Key, nil, "Last-Event-ID", "9")
+	must.Eq(t, http.StatusOK, r.StatusCode)
+	close(hold)
+	last, whole = readStream(t, r.Body, 9, 30)
+	must.Eq(t, 30, last)
+	must.True(t, whole)
+	must.Eq(t, 1, len(engine.Calls))
+}
--- a/internal/sidecar/streams.go
+++ b/internal/sidecar/streams.go
@@ -300,6 +300,8 @@
 		return
 	}
 	s.addReader(h, readerKey{link: m.link, request: a.Request, attempt: a.Attempt}, id)
+	// A reader that has every piece so far may wait long for the next one.
+	m.link.Send(&message.Accepted{Request: a.Request, Attempt: a.Attempt})
 	s.pump(now, h)
 }
 
