sidecar: refuse new work while the engine does not answer

A sidecar whose engine was down looked idle and drew requests only to refuse them: in a run of the dev command with random crashes, 3,366 of 5,260 requests ended with 503 after four refusals. After two failed load reports in a row the process is leaving, and entries send work elsewhere, until the engine answers again.

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -25,6 +25,10 @@
 const (
 	controlCapacity = 256
 	controlTick     = 100 * time.Millisecond
+	// maxUnanswered is how many load reports in a row may fail before new work is
+	// refused. A sidecar whose engine is down would otherwise look idle, and draw
+	// requests only to refuse each of them.
+	maxUnanswered = 2
 )
 
 // controlMessage is a message to the control task.
@@ -72,7 +76,9 @@
 	// say; the chart decides what follows.
 	leavingList   bool
 	leavingServer bool
-	hasEngine     bool
+	// unanswered counts the load reports that the engine failed to give in a row.
+	unanswered int
+	hasEngine  bool
 
 	// groupRecords takes the records for the group task; nil without one.
 	groupRecords *task.Mailbox[*record.Snapshot]
@@ -234,8 +240,12 @@
 func (c *control) engineLoad(ctx context.Context, now time.Time, m engineLoad) {
 	if m.err != nil {
 		c.logger.Debug().Err(m.err).Msg("engine load")
+		c.unanswered++
+		c.leavingServer = c.leavingServer || c.unanswered >= maxUnanswered
+		c.leave(ctx, now)
 		return
 	}
+	c.unanswered = 0
 	c.load, c.loadAt = m.load, now
 	c.leavingServer = m.load.Leaving
 	if m.load.Slots > 0 {
