entry: say unknown for requests that the process ends with

A handler whose request had no output yet returned without an answer when the entry's grace period ended, which net/http turns into an empty answer with status 200. It now answers 502 with the outcome unknown. Found by the dev command under random crashes; covered by a test.

--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -125,7 +125,8 @@
 	for {
 		d, ok := s.next(r, t)
 		if !ok {
-			panic(http.ErrAbortHandler)
+			writeUnfinished(w)
+			return
 		}
 		if !begun && d.end != nil && answeredOtherwise(w, d) {
 			return
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -57,9 +57,12 @@
 	if !ok {
 		return
 	}
-	if end, ok := s.next(r, t); ok {
-		answerService(w, end)
+	end, ok := s.next(r, t)
+	if !ok {
+		writeUnfinished(w)
+		return
 	}
+	answerService(w, end)
 }
 
 func serviceSubmission(a record.Account, class record.Class, wanted record.Service, r *http.Request, path string, body []byte) submission {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -139,12 +139,19 @@
 	e.flush()
 }
 
-// breakOff ends an unfinished answer in a way that the caller notices: the
-// connection closes without the end of the chunked body.
+// breakOff ends an unfinished answer in a way that the caller notices: if it has
+// begun, the connection closes without the end of the chunked body.
 func (e *events) breakOff() {
 	if e.begun {
 		panic(http.ErrAbortHandler)
 	}
+	writeUnfinished(e.writer)
+}
+
+// writeUnfinished answers a request that the process ends without having heard
+// its outcome. A handler that writes nothing would answer 200.
+func writeUnfinished(w http.ResponseWriter) {
+	writeProblem(w, "", outcome.CannotTell(outcome.ReasonDraining, "the entry stopped before the request had ended"), 0)
 }
 
 // readOn answers GET /v1/streams/{id}: the events after Last-Event-ID of a
--- a/internal/pathtest/crashes_test.go
+++ b/internal/pathtest/crashes_test.go
@@ -1,6 +1,7 @@
 package pathtest_test
 
 import (
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -75,3 +76,43 @@
 	must.True(t, whole)
 	must.Eq(t, 1, len(engine.Calls))
 }
+
+// Guards against an empty answer with status 200 for a request whose outcome the
+// entry does not know when its grace period ends.
+func TestEntryEndsBeforeTheFirstToken(t *testing.T) {
+	engine := pathtest.NewEngine(pathtest.Behavior{Tokens: 3, Hold: make(chan struct{}), HoldAt: 1})
+	defer engine.Close()
+	f := newFixture(t, engineBackend("e0", engine))
+	f.world.Grace = 200 * time.Millisecond
+	f.start(1)
+	responses := make(chan *http.Response, 2)
+	for _, stream := range []bool{true, false} {
+		go func() { responses <- f.complete(0, stream) }()
+		<-engine.Calls
+	}
+	f.entries[0].Stop()
+	for range 2 {
+		must.Eq(t, problem{http.StatusBadGateway, "unknown", "draining"}, readProblem(t, <-responses))
+	}
+}
+
+// Guards against a sidecar that goes on drawing requests while its engine is
+// down, only to refuse them.
+func TestSidecarLeavesWhileItsEngineIsDown(t *testing.T) {
+	engine := pathtest.NewEngine(pathtest.Behavior{Tokens: 3})
+	f := newFixture(t, engineBackend("e0", engine))
+	f.start(0)
+	engine.Close()
+	for {
+		r, err := http.Get("http://" + f.sidecars[0].Operations + "/readyz")
+		must.NoError(t, err)
+		body, err := io.ReadAll(r.Body)
+		must.NoError(t, err)
+		must.NoError(t, r.Body.Close())
+		if r.StatusCode == http.StatusServiceUnavailable {
+			must.StrHasPrefix(t, "leaving", string(body))
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
