admission: let credits cover the free slots

A server with 64 free slots granted one entry four requests until the next heartbeat, and pathtest's TestDrain saw a 503 with an idle server. The credit now includes the free slots at the mean cost of an item.

--- a/internal/decide/admission/estimate.go
+++ b/internal/decide/admission/estimate.go
@@ -112,9 +112,16 @@
 // credit when the configuration gives no bound.
 const defaultWindow = 2 * time.Second
 
+// usualCost is the assumed cost of an item until items have been seen, and
+// usualGain the weight of one item in the mean.
+const (
+	usualCost = 256.0
+	usualGain = 0.02
+)
+
 // Window returns the credit for each of the given number of entries, by class
-// in cost units, most urgent first. An entry may send this much on top of what
-// it has waiting.
+// in cost units, most urgent first. It covers the free slots and what the lane
+// gets done until the next heartbeat and within its allowed wait.
 func (s *Scheduler) Window(now time.Time, entries int) [3]int64 {
 	var window [3]int64
 	for n, class := range ident.PriorityClasses() {
@@ -123,7 +130,8 @@
 		if wait == 0 {
 			wait = defaultWindow
 		}
-		room := s.laneRate(now, lane)*(wait+reportInterval).Seconds() - float64(s.lanes[lane].cost)
+		free := float64(max(0, s.freeSlots(lane))) * s.usual
+		room := free + s.laneRate(now, lane)*(wait+reportInterval).Seconds() - float64(s.lanes[lane].cost)
 		window[n] = int64(max(0, room)) / int64(max(1, entries))
 	}
 	return window
--- a/internal/decide/admission/scheduler.go
+++ b/internal/decide/admission/scheduler.go
@@ -45,11 +45,13 @@
 	// rate measures the cost that the backend server finishes per second.
 	rate capacity
 	now  time.Time
+	// usual is the mean cost of the items offered lately.
+	usual float64
 }
 
 // New returns an empty queue.
 func New(c Config) *Scheduler {
-	s := &Scheduler{known: make(map[ID]*work), runningBy: make(map[ident.ClientAccount]int)}
+	s := &Scheduler{known: make(map[ID]*work), runningBy: make(map[ident.ClientAccount]int), usual: usualCost}
 	s.machine = chart.MustBind(charts.Must("work"), chart.Binding[*work]{
 		Delays: map[string]func(*work) time.Duration{"proof": func(w *work) time.Duration {
 			return max(0, w.item.Deadline.Sub(w.now)) + proofWindow
@@ -81,6 +83,7 @@
 	if w := s.known[item.ID]; w != nil {
 		return w.answerCopy()
 	}
+	s.usual += usualGain * (float64(item.Cost) - s.usual)
 	w := s.admit(now, item)
 	if !now.Before(item.Deadline) {
 		return s.turnAway(now, w, outcome.ReasonDeadline, 0)
--- a/internal/decide/admission/share.go
+++ b/internal/decide/admission/share.go
@@ -64,12 +64,9 @@
 	if s.config.Slots <= 0 {
 		return true
 	}
-	free := s.config.Slots - s.running
-	if !n.urgent() {
-		free -= s.config.UrgentSlots
-		if s.config.Pace && s.starting > free/paceSlots {
-			return false
-		}
+	free := s.freeSlots(n)
+	if !n.urgent() && s.config.Pace && s.starting > free/paceSlots {
+		return false
 	}
 	return free > 0
 }
@@ -100,6 +97,15 @@
 	}
 }
 
+// freeSlots is how many slots the lane may still take.
+func (s *Scheduler) freeSlots(n laneIndex) int {
+	free := s.config.Slots - s.running
+	if !n.urgent() {
+		free -= s.config.UrgentSlots
+	}
+	return free
+}
+
 // full reports whether the backend server has as much work as it takes.
 func (s *Scheduler) full() bool {
 	if s.config.Slots <= 0 {
