entry, sidecar: choose servers by package routing

The entry picked the server with the fewest attempts of its own. It now uses package routing with load reports, credits, first outputs and failures, keeps requests without credit for an eighth of their target, and sends urgent requests impatiently. The sidecar reports first outputs and real costs to the queue. If all replicas are avoided for failures, they are used all the same; pathtest's TestEngineDiesInTheMiddleOfAStream waited without end before. go test ./internal/pathtest passes.

--- a/internal/decide/routing/patience.go
+++ b/internal/decide/routing/patience.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/anvilpoint/anvilpoint/internal/ident"
+import (
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+)
 
 const (
 	// impatientTries is how many replicas an urgent request may find without a
@@ -23,11 +27,15 @@
 func (Answered) routing() {}
 
 // Impatient reports whether a request should be refused by a replica without a
-// free slot, so that another replica gets it. Only urgent requests are.
-func (r *Router) Impatient(q Request) bool {
+// free slot, so that another replica gets it. Only urgent requests are, and only
+// if there is another replica.
+func (r *Router) Impatient(now time.Time, q Request) bool {
 	if r.config.Baseline != "" || q.Class != ident.Interactive || len(q.Tried) >= impatientTries {
 		return false
 	}
+	if len(r.usable(now, q)) < 2 {
+		return false
+	}
 	return r.busy <= busyLimit || r.random.Float64() < probeShare
 }
 
--- a/internal/decide/routing/pick.go
+++ b/internal/decide/routing/pick.go
@@ -19,6 +19,9 @@
 // now; the outcome says why.
 func (r *Router) Pick(now time.Time, q Request) (ident.ServerID, outcome.Outcome, bool) {
 	fit := r.usable(now, q)
+	if len(fit) == 0 {
+		fit = r.lastResort(now, q)
+	}
 	if len(fit) == 0 {
 		return "", r.noServer(now, q), false
 	}
@@ -119,7 +122,7 @@
 
 func (r *Router) distance(s Server) time.Duration {
 	switch {
-	case s.Region != r.config.Region:
+	case s.Region != "" && s.Region != r.config.Region:
 		return r.config.FarRegion
 	case s.Domain != r.config.Domain:
 		return r.config.FarDomain
--- a/internal/decide/routing/replica.go
+++ b/internal/decide/routing/replica.go
@@ -37,7 +37,8 @@
 
 // started is a request of this entry that runs at a replica.
 type started struct {
-	cost int64
+	server ident.ServerID
+	cost   int64
 	// at tells requests that a report already contains from later ones.
 	at    time.Time
 	class ident.PriorityClass
@@ -77,6 +78,8 @@
 	// slow counts slow calls since the replica got less work.
 	slow    int
 	pending map[ident.RequestID]started
+	// reports are the last ones of each member, and report is their sum.
+	reports map[ident.ServerID]Report
 	report  Report
 	// peak is the best rate that the replica reported lately.
 	peak float64
@@ -94,6 +97,8 @@
 	// spent is the cost sent since the credit in the report was given.
 	spent [3]spending
 	down  map[ident.ServerID]bool
+	// at counts this entry's running requests by member.
+	at map[ident.ServerID]int
 }
 
 func replicaMachine() *chart.Machine[*replica] {
@@ -195,14 +200,37 @@
 }
 
 // member returns the server of the replica that takes the request: for a group
-// the first rank with a link.
+// the linked rank with the fewest requests of this entry.
 func (p *replica) member() (ident.ServerID, bool) {
+	var best ident.ServerID
 	for _, s := range p.members {
-		if !p.down[s.ID] {
-			return s.ID, true
+		if !p.down[s.ID] && (best == "" || p.at[s.ID] < p.at[best]) {
+			best = s.ID
 		}
 	}
-	return "", false
+	return best, best != ""
+}
+
+// sum adds up the reports of the members. A group is impaired if any rank is,
+// since its ranks run in lock-step.
+func (p *replica) sum() Report {
+	var sum Report
+	for _, s := range p.members {
+		r, known := p.reports[s.ID]
+		if !known {
+			continue
+		}
+		sum.Running += r.Running
+		sum.Slots += r.Slots
+		sum.Rate += r.Rate
+		sum.Credits = sum.Credits || r.Credits
+		sum.Impaired = sum.Impaired || r.Impaired
+		for n := range sum.Window {
+			sum.Window[n] += r.Window[n]
+			sum.QueuedCost[n] += r.QueuedCost[n]
+		}
+	}
+	return sum
 }
 
 func classIndex(class ident.PriorityClass) int {
--- a/internal/decide/routing/router.go
+++ b/internal/decide/routing/router.go
@@ -41,7 +41,7 @@
 	case Report:
 		r.on(m.Server, func(p *replica) { p.takeReport(now, m) })
 	case Started:
-		r.on(m.Server, func(p *replica) { p.start(now, m.Request) })
+		r.on(m.Server, func(p *replica) { p.start(now, m) })
 		r.hints.sent(now, m.Server, m.Request.Prefix)
 	case FirstToken:
 		r.on(m.Server, func(p *replica) { r.firstToken(now, p, m) })
@@ -84,7 +84,9 @@
 	for _, s := range servers {
 		p := known[replicaName(s)]
 		if p == nil {
-			p = &replica{name: replicaName(s), pending: make(map[ident.RequestID]started), down: make(map[ident.ServerID]bool)}
+			p = &replica{name: replicaName(s), pending: make(map[ident.RequestID]started), down: make(map[ident.ServerID]bool),
+				reports: make(map[ident.ServerID]Report), at: make(map[ident.ServerID]int),
+			}
 			p.life = r.machine.New(now, p)
 			known[p.name] = p
 		}
@@ -104,10 +106,13 @@
 }
 
 func (p *replica) takeReport(now time.Time, m Report) {
-	p.report = m
+	p.reports[m.Server] = m
+	p.report = p.sum()
 	p.reported = now.Add(-m.Age)
-	p.spent = [3]spending{}
-	p.peak = max(peakDecay*p.peak, m.Rate)
+	if m.Server == p.members[0].ID {
+		p.spent = [3]spending{}
+	}
+	p.peak = max(peakDecay*p.peak, p.report.Rate)
 	p.ownRunning, p.sentSince = 0, 0
 	for _, w := range p.pending {
 		if w.at.After(p.reported) {
@@ -118,8 +123,13 @@
 	}
 }
 
-func (p *replica) start(now time.Time, request Request) {
-	p.pending[request.ID] = started{cost: request.Cost, at: now, class: request.Class, prompt: request.PromptTokens}
+func (p *replica) start(now time.Time, m Started) {
+	request := m.Request
+	if old, again := p.pending[request.ID]; again {
+		p.forget(request.ID, old)
+	}
+	p.at[m.Server]++
+	p.pending[request.ID] = started{server: m.Server, cost: request.Cost, at: now, class: request.Class, prompt: request.PromptTokens}
 	p.prompts += request.PromptTokens
 	p.sentSince += request.Cost
 	p.spent[classIndex(request.Class)].add(request.Account, request.Cost)
@@ -130,11 +140,7 @@
 	if !known {
 		return
 	}
-	delete(p.pending, m.Request)
-	p.prompts -= work.prompt
-	if work.at.After(p.reported) {
-		p.sentSince -= work.cost
-	}
+	p.forget(m.Request, work)
 	switch {
 	case m.Failed:
 		p.life.Fire(now, "failed")
@@ -143,6 +149,16 @@
 	}
 }
 
+// forget removes a request from the counts.
+func (p *replica) forget(id ident.RequestID, work started) {
+	delete(p.pending, id)
+	p.at[work.server]--
+	p.prompts -= work.prompt
+	if work.at.After(p.reported) {
+		p.sentSince -= work.cost
+	}
+}
+
 func (p *replica) setLink(now time.Time, m Link) {
 	p.down[m.Server] = !m.Up
 	_, linked := p.member()
@@ -189,6 +205,25 @@
 	return fit
 }
 
+// lastResort returns the replicas that get no work because of their failures, if
+// all that could take the request are such. Then the fault may lie elsewhere,
+// and a doubtful replica is better than none.
+func (r *Router) lastResort(now time.Time, q Request) []*replica {
+	var list []*replica
+	for _, p := range r.replicas {
+		if p.members[0].Model != q.Model || !p.life.In("eligible") || p.tried(q.Tried) {
+			continue
+		}
+		if p.usable(now) {
+			return nil
+		}
+		if p.credit(q) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 func (p *replica) tried(servers []ident.ServerID) bool {
 	return slices.ContainsFunc(p.members, func(s Server) bool { return slices.Contains(servers, s.ID) })
 }
--- a/internal/decide/routing/routing.go
+++ b/internal/decide/routing/routing.go
@@ -19,6 +19,7 @@
 type Server struct {
 	ID     ident.ServerID
 	Domain ident.FailureDomain
+	// Region is empty if it is not known, and then counts as near.
 	Region ident.Region
 	Model  ident.ModelName
 	// Group makes all servers of the group one replica. Empty means none.
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/anvilpoint/anvilpoint/internal/decide/admission"
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/message"
@@ -88,11 +89,16 @@
 	if output <= 0 {
 		output = defaultOutput
 	}
-	cost := int64(len(c.Messages))/bytesPerToken + output
+	prompt := int64(len(c.Messages)) / bytesPerToken
+	cost := admission.EstimateCost(prompt, output)
 	prefix := xxhash.Sum64(c.Messages[:min(len(c.Messages), prefixBytes)])
+	q := query{
+		model: c.Model, account: a.ID, class: class.Name, prefix: prefix, cost: cost, prompt: prompt,
+		prefixTokens: min(prompt, prefixBytes/bytesPerToken), patience: class.FirstTokenTarget / patiencePart,
+	}
 	return submission{
 		offer: message.Offer{Account: a.ID, Weight: a.Weight, Class: class.Name, Cost: cost, Prefix: prefix, Body: body},
-		query: query{model: c.Model, account: a.ID, class: class.Name, prefix: prefix, cost: cost},
+		query: q,
 		plan:  request.Plan{Deadline: deadlineOf(class), Repeatable: true},
 	}
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -83,7 +83,8 @@
 type dispatch struct {
 	mailbox  *task.Mailbox[dispatchMessage]
 	machines *request.Machines
-	picker   picker
+	picker   *picker
+	held     held
 	random   *rand.Rand
 	instance ident.InstanceID
 	flights  map[ticket]*flight
@@ -101,10 +102,10 @@
 	record   message.Digest
 }
 
-func newDispatch(p picker, random *rand.Rand, instance ident.InstanceID, events *eventlog.Log, m *metrics) (*dispatch, error) {
+func newDispatch(p *picker, random *rand.Rand, instance ident.InstanceID, events *eventlog.Log, m *metrics) (*dispatch, error) {
 	d := &dispatch{
 		mailbox: task.NewMailbox[dispatchMessage](dispatchCapacity, task.Block),
-		picker:  p, random: random, instance: instance,
+		picker:  p, held: make(held), random: random, instance: instance,
 		flights: make(map[ticket]*flight), wires: make(map[wireKey]*flight),
 		servers: make(map[ident.ServerID]*server),
 		budget:  newRetryBudget(), events: events, metrics: m,
@@ -241,9 +242,11 @@
 	q.excluded = a.Excluded
 	picked, why, ok := d.picker.pick(now, q)
 	if !ok {
-		d.advance(now, f, request.NoServer{Outcome: why, RetryAfter: time.Second})
+		d.noServer(now, f, why)
 		return
 	}
+	d.release(f)
+	f.impatient = d.picker.impatient(now, q)
 	d.advance(now, f, request.Picked{Server: picked})
 }
 
@@ -289,7 +292,8 @@
 	}
 	f.receiver.Begin(a.Attempt)
 	d.wires[f.wire] = f
-	d.picker.started(now, a.Server, f.offer.Cost)
+	f.offered, f.answered = now, false
+	d.picker.started(now, a.Server, f.id, f.query)
 	f.link = d.linkOf(a.Server)
 	if f.link == nil || !f.link.Send(f.offerFrame(a)) {
 		d.advance(now, f, request.Unwritten{Attempt: a.Attempt})
@@ -303,7 +307,7 @@
 }
 
 func (d *dispatch) settle(now time.Time, f *flight, a request.Settle) {
-	d.picker.settled(now, a.Server, f.offer.Cost, a.Refused, a.Failed)
+	d.picker.settled(now, a.Server, f.id, a.Failed)
 	if a.Failed {
 		d.metrics.broken.Inc()
 	}
@@ -315,6 +319,7 @@
 	}
 	d.metrics.requests.WithLabelValues(string(a.Outcome.Kind), string(a.Outcome.Reason)).Inc()
 	f.hand(&ending{outcome: a.Outcome, retryAfter: a.RetryAfter, done: f.done})
+	d.release(f)
 	delete(d.wires, f.wire)
 	delete(d.flights, f.ticket)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	picker := newLeastOutstanding(p.random(1))
+	picker := newPicker(uint64(p.start)^rand.Uint64(), o.Settings.Domain, o.Settings.Region)
 	if p.dispatch, err = newDispatch(picker, p.random(2), o.Settings.Instance, o.Events, p.metrics); err != nil {
 		return nil, err
 	}
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -67,6 +67,14 @@
 	last     []byte
 	done     *message.Done
 	credited int64
+	// heldSince is when the request began to wait for credit, zero if it does not.
+	heldSince time.Time
+	// impatient says that the current attempt is refused by a busy server.
+	impatient bool
+	// offered is when the current attempt was offered; answered says that it has
+	// begun to answer.
+	offered  time.Time
+	answered bool
 	// gapAt is when an answer whose end is known but whose pieces are missing is
 	// given up. Zero means that nothing is missing.
 	gapAt time.Time
@@ -111,5 +119,6 @@
 	offer.Request, offer.Attempt = f.id, f.wire.attempt
 	offer.RemainingMS = max(a.Remaining.Milliseconds(), 0)
 	offer.Resume = f.receiver.Delivered()
+	offer.Impatient = f.impatient
 	return &offer
 }
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -83,10 +83,12 @@
 		}
 	case *message.Accepted:
 		if f := d.find(l, m.Request, m.Attempt); f != nil {
+			d.hadSlot(now, f, true)
 			d.advance(now, f, request.Accepted{Attempt: f.life.Attempt()})
 		}
 	case *message.Refused:
 		if f := d.find(l, m.Request, m.Attempt); f != nil {
+			d.hadSlot(now, f, m.Reason != outcome.ReasonBusy)
 			retry := time.Duration(m.RetryAfterMS) * time.Millisecond
 			d.advance(now, f, request.Refused{Attempt: f.life.Attempt(), Reason: m.Reason, RetryAfter: retry})
 		}
@@ -126,6 +128,7 @@
 	}
 	f.last = f.ready[len(f.ready)-1]
 	d.metrics.chunks.Add(float64(len(f.ready) - had))
+	d.firstOutput(now, f)
 	if f.collect {
 		f.consume(stream.Cost(m.Payload))
 	} else if !f.life.Streaming(attempt) {
@@ -137,6 +140,21 @@
 	}
 }
 
+// firstOutput tells the picker how long the attempt took to answer.
+func (d *dispatch) firstOutput(now time.Time, f *flight) {
+	if !f.answered && f.attach == "" {
+		f.answered = true
+		d.picker.firstOutput(now, f.life.Server(), f.id, now.Sub(f.offered))
+	}
+}
+
+// hadSlot tells the picker what became of an impatient attempt.
+func (d *dispatch) hadSlot(now time.Time, f *flight, free bool) {
+	if f.impatient {
+		d.picker.answered(now, !free)
+	}
+}
+
 func (d *dispatch) touch(f *flight) {
 	if !f.touched && !f.collect {
 		f.touched = true
--- a/internal/entry/picker.go
+++ b/internal/entry/picker.go
@@ -1,12 +1,9 @@
 package entry
 
 import (
-	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
@@ -17,120 +14,137 @@
 type query struct {
 	model   ident.ModelName
 	service ident.ServiceName
-	// key is set for calls that must all reach the same server.
-	key      string
-	account  ident.ClientAccount
-	class    ident.PriorityClass
-	prefix   uint64
-	cost     int64
+	account ident.ClientAccount
+	class   ident.PriorityClass
+	prefix  uint64
+	cost    int64
+	// prompt and prefixTokens are estimates in tokens.
+	prompt       int64
+	prefixTokens int64
+	// patience is how long the request may wait at the entry for credit.
+	patience time.Duration
 	excluded []ident.ServerID
 }
 
-// picker chooses backend servers. The dispatch task owns it.
-type picker interface {
-	// configure puts a record in force.
-	configure(now time.Time, s *record.Snapshot)
-	// linked says that a link to the server is up or down.
-	linked(now time.Time, server ident.ServerID, up bool)
-	// heard takes a heartbeat of the server.
-	heard(now time.Time, server ident.ServerID, h *message.Heartbeat)
-	// started and settled frame each attempt at the server.
-	started(now time.Time, server ident.ServerID, cost int64)
-	settled(now time.Time, server ident.ServerID, cost int64, refused, failed bool)
-	// pick returns a server, or why there is none now.
-	pick(now time.Time, q query) (ident.ServerID, outcome.Outcome, bool)
+// picker chooses backend servers by package routing. The dispatch task owns it.
+type picker struct {
+	router   *routing.Router
+	snapshot *record.Snapshot
+	up       map[ident.ServerID]bool
+	draining map[ident.ServerID]bool
 }
 
-// leastOutstanding picks the linked server with the fewest attempts of this
-// entry.
-type leastOutstanding struct {
-	random      *rand.Rand
-	snapshot    *record.Snapshot
-	up          map[ident.ServerID]bool
-	draining    map[ident.ServerID]bool
-	outstanding map[ident.ServerID]int
+func newPicker(seed uint64, domain ident.FailureDomain, region ident.Region) *picker {
+	return &picker{
+		router: routing.New(seed, routing.Config{Domain: domain, Region: region}),
+		up:     make(map[ident.ServerID]bool), draining: make(map[ident.ServerID]bool),
+	}
 }
 
-func newLeastOutstanding(random *rand.Rand) *leastOutstanding {
-	return &leastOutstanding{
-		random: random, up: make(map[ident.ServerID]bool),
-		draining: make(map[ident.ServerID]bool), outstanding: make(map[ident.ServerID]int),
+// serviceModel names a plain service among the models. Model names have no
+// slash.
+func serviceModel(s ident.ServiceName) ident.ModelName { return ident.ModelName("service/" + s) }
+
+// configure puts a record in force. Servers without a link get no work.
+func (p *picker) configure(now time.Time, s *record.Snapshot) {
+	p.snapshot = s
+	servers := membership(s)
+	p.router.Step(now, routing.Membership{Servers: servers})
+	for _, one := range servers {
+		if !p.up[one.ID] {
+			p.router.Step(now, routing.Link{Server: one.ID})
+		}
 	}
 }
 
-func (p *leastOutstanding) configure(_ time.Time, s *record.Snapshot) { p.snapshot = s }
+func membership(s *record.Snapshot) []routing.Server {
+	groups := make(map[ident.ServerID]ident.GroupID)
+	for id, g := range s.Groups {
+		for _, rank := range g.Ranks {
+			groups[rank] = id
+		}
+	}
+	var list []routing.Server
+	for id, r := range s.Replicas {
+		if r.Role != record.RoleStandby {
+			list = append(list, routing.Server{ID: id, Domain: r.Domain, Model: r.Model, Group: groups[id]})
+		}
+	}
+	for name, service := range s.Services {
+		for _, r := range service.Replicas {
+			list = append(list, routing.Server{ID: r.ID, Domain: r.Domain, Model: serviceModel(name)})
+		}
+	}
+	return list
+}
 
-func (p *leastOutstanding) linked(_ time.Time, server ident.ServerID, up bool) {
+// linked says that a link to the server is up or down.
+func (p *picker) linked(now time.Time, server ident.ServerID, up bool) {
 	p.up[server] = up
-	p.draining[server] = false
+	delete(p.draining, server)
+	p.router.Step(now, routing.Link{Server: server, Up: up})
+}
+
+// reportAge is the mean age of what a heartbeat says of the queue.
+const reportAge = 50 * time.Millisecond
+
+// heard takes a heartbeat of the server.
+func (p *picker) heard(now time.Time, server ident.ServerID, h *message.Heartbeat) {
+	l := h.Load
+	p.router.Step(now, routing.Report{
+		Server: server, Running: l.Running, QueuedCost: l.QueuedCost, Slots: l.Slots, Rate: l.TokensPerSecond,
+		Age: reportAge, Window: l.Window, Credits: l.Slots > 0, Impaired: impaired(l.GroupState),
+	})
+	if h.Draining != p.draining[server] {
+		p.draining[server] = h.Draining
+		p.router.Step(now, routing.Draining{Server: server, On: h.Draining})
+	}
+}
+
+// impaired reports whether a group is in a state in which it steps slowly or not.
+func impaired(groupState string) bool {
+	return groupState != "" && groupState != "formed" && groupState != "apart"
+}
+
+// started and settled frame each attempt at the server.
+func (p *picker) started(now time.Time, server ident.ServerID, id ident.RequestID, q query) {
+	p.router.Step(now, routing.Started{Server: server, Request: q.request(id)})
 }
 
-func (p *leastOutstanding) heard(_ time.Time, server ident.ServerID, h *message.Heartbeat) {
-	p.draining[server] = h.Draining
+// firstOutput says that the attempt has begun to answer.
+func (p *picker) firstOutput(now time.Time, server ident.ServerID, id ident.RequestID, after time.Duration) {
+	p.router.Step(now, routing.FirstToken{Server: server, Request: id, After: after})
 }
 
-func (p *leastOutstanding) started(_ time.Time, server ident.ServerID, _ int64) {
-	p.outstanding[server]++
+func (p *picker) settled(now time.Time, server ident.ServerID, id ident.RequestID, failed bool) {
+	p.router.Step(now, routing.Ended{Server: server, Request: id, Failed: failed})
 }
 
-func (p *leastOutstanding) settled(_ time.Time, server ident.ServerID, _ int64, _, _ bool) {
-	p.outstanding[server]--
+// answered says whether a server had a free slot for an impatient request.
+func (p *picker) answered(now time.Time, busy bool) {
+	p.router.Step(now, routing.Answered{Busy: busy})
 }
 
-func (p *leastOutstanding) pick(_ time.Time, q query) (ident.ServerID, outcome.Outcome, bool) {
+// pick returns a server, or why there is none now.
+func (p *picker) pick(now time.Time, q query) (ident.ServerID, outcome.Outcome, bool) {
 	if p.snapshot == nil {
 		return "", outcome.DidNotRun(outcome.ReasonConfiguration, ""), false
 	}
-	candidates := p.candidates(q)
-	if q.key != "" {
-		candidates = home(q.key, candidates)
-	}
-	var best []ident.ServerID
-	for _, c := range candidates {
-		if !p.up[c] || p.draining[c] || slices.Contains(q.excluded, c) {
-			continue
-		}
-		if len(best) > 0 && p.outstanding[c] > p.outstanding[best[0]] {
-			continue
-		}
-		if len(best) > 0 && p.outstanding[c] < p.outstanding[best[0]] {
-			best = best[:0]
-		}
-		best = append(best, c)
-	}
-	if len(best) == 0 {
-		return "", outcome.DidNotRun(outcome.ReasonNoServer, ""), false
-	}
-	return best[p.random.IntN(len(best))], outcome.Outcome{}, true
+	return p.router.Pick(now, q.request(""))
 }
 
-func (p *leastOutstanding) candidates(q query) []ident.ServerID {
-	var out []ident.ServerID
-	if q.service != "" {
-		for _, r := range p.snapshot.Services[q.service].Replicas {
-			out = append(out, r.ID)
-		}
-		return out
-	}
-	for id, r := range p.snapshot.Replicas {
-		if r.Model == q.model && r.Role != record.RoleStandby {
-			out = append(out, id)
-		}
-	}
-	return out
+// impatient reports whether a server without a free slot should refuse.
+func (p *picker) impatient(now time.Time, q query) bool {
+	return p.router.Impatient(now, q.request(""))
 }
 
-// home returns the one server that the key belongs to, by rendezvous hashing.
-func home(key string, servers []ident.ServerID) []ident.ServerID {
-	var best ident.ServerID
-	var score uint64
-	for _, s := range servers {
-		if h := xxhash.Sum64String(key + "\x00" + string(s)); best == "" || h > score {
-			best, score = s, h
-		}
+func (q query) request(id ident.RequestID) routing.Request {
+	model := q.model
+	if q.service != "" {
+		model = serviceModel(q.service)
 	}
-	if best == "" {
-		return nil
+	return routing.Request{
+		ID: id, Model: model, Class: q.class, Account: q.account, Cost: q.cost, PromptTokens: q.prompt,
+		Prefix: q.prefix, PrefixTokens: q.prefixTokens, Tried: q.excluded,
 	}
-	return []ident.ServerID{best}
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -45,7 +45,7 @@
 		return
 	}
 	sub := serviceSubmission(account, class, wanted, r, p.ByName("path"), body)
-	if !sub.plan.Repeatable && sub.query.key == "" {
+	if !sub.plan.Repeatable && r.Header.Get(headerKey) == "" {
 		refuse(w, outcome.ReasonMalformed, "a call that is not repeatable needs an Idempotency-Key")
 		return
 	}
@@ -69,16 +69,13 @@
 			Account: a.ID, Weight: a.Weight, Class: class.Name, Cost: serviceCost,
 			Service: wanted.Name, Method: r.Method, Path: path, Header: service.PassedOn(r.Header), Body: body,
 		},
-		query:   query{service: wanted.Name, account: a.ID, class: class.Name, cost: serviceCost},
+		query:   query{service: wanted.Name, account: a.ID, class: class.Name, cost: serviceCost, patience: class.FirstTokenTarget / patiencePart},
 		plan:    request.Plan{Deadline: deadlineOf(class), Repeatable: repeatable},
 		collect: true,
 	}
 	if r.URL.RawQuery != "" {
 		sub.offer.Path += "?" + r.URL.RawQuery
 	}
-	if !repeatable && r.Header.Get(headerKey) != "" {
-		sub.query.key = string(a.ID) + "\x00" + string(wanted.Name) + "\x00" + r.Header.Get(headerKey)
-	}
 	return sub
 }
 
--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -37,7 +37,7 @@
 		return
 	}
 	r.letGo(q)
-	q.impatient = !r.policy.FCFS && !q.load.Booking && router.Impatient(query)
+	q.impatient = !r.policy.FCFS && !q.load.Booking && router.Impatient(r.now, query)
 	router.Step(r.now, routing.Started{Server: id, Request: query})
 	r.after(hop, func() { r.arrive(r.byID[id], q) })
 }
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/anvilpoint/anvilpoint/internal/decide/admission"
 	"github.com/anvilpoint/anvilpoint/internal/decide/execution"
 	"github.com/anvilpoint/anvilpoint/internal/decide/stream"
 	"github.com/anvilpoint/anvilpoint/internal/engine"
@@ -52,7 +53,7 @@
 }
 
 func (c *caller) run(ctx context.Context, key execution.Key, offer *message.Offer) {
-	emitter := emitter{ctx: ctx, key: key, streams: c.streams}
+	emitter := emitter{ctx: ctx, key: key, streams: c.streams, queue: c.queue}
 	end := c.backend.call(ctx, offer, emitter.emit)
 	if ctx.Err() != nil && end.failed != nil {
 		canceled := outcome.CannotTell(outcome.ReasonCanceled, "")
@@ -60,7 +61,18 @@
 	}
 	always := context.WithoutCancel(ctx)
 	c.streams.Send(always, finishStream{key: key, end: end})
-	c.queue.Send(always, callEnded{key: key, cost: offer.Cost})
+	c.queue.Send(always, callEnded{key: key, cost: realCost(offer, emitter.pieces)})
+}
+
+// bytesPerToken estimates the prompt's tokens from the size of the request.
+const bytesPerToken = 4
+
+// realCost is the cost of a call that has ended, by the pieces of its answer.
+func realCost(o *message.Offer, pieces int64) int64 {
+	if o.Service != "" {
+		return o.Cost
+	}
+	return admission.EstimateCost(int64(len(o.Body))/bytesPerToken, pieces)
 }
 
 // emitter passes the pieces of one call to the streams task.
@@ -68,13 +80,19 @@
 	ctx     context.Context
 	key     execution.Key
 	streams *task.Mailbox[streamMessage]
+	queue   *task.Mailbox[queueMessage]
 	bytes   int64
+	pieces  int64
 }
 
 func (e *emitter) emit(pieces [][]byte) bool {
 	if !e.streams.Send(e.ctx, appendStream{key: e.key, pieces: pieces}).Accepted() {
 		return false
 	}
+	if e.pieces == 0 {
+		e.queue.Send(e.ctx, callAnswers{key: e.key})
+	}
+	e.pieces += int64(len(pieces))
 	for _, p := range pieces {
 		e.bytes += stream.Cost(p)
 	}
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -33,6 +33,8 @@
 		key  execution.Key
 		cost int64
 	}
+	// callAnswers says that a call has begun to answer.
+	callAnswers struct{ key execution.Key }
 	// setSlots tells how many calls the backend server runs at once.
 	setSlots struct{ slots int }
 	// setRefusal makes the queue refuse all new offers, and the waiting ones, for
@@ -57,12 +59,13 @@
 	window [3]int64
 }
 
-func (fromLink) isQueueMessage()   {}
-func (callEnded) isQueueMessage()  {}
-func (setSlots) isQueueMessage()   {}
-func (setRefusal) isQueueMessage() {}
-func (askFigures) isQueueMessage() {}
-func (setShares) isQueueMessage()  {}
+func (fromLink) isQueueMessage()    {}
+func (callEnded) isQueueMessage()   {}
+func (callAnswers) isQueueMessage() {}
+func (setSlots) isQueueMessage()    {}
+func (setRefusal) isQueueMessage()  {}
+func (askFigures) isQueueMessage()  {}
+func (setShares) isQueueMessage()   {}
 
 // offered is a waiting or running offer of an entry, or a booking.
 type offered struct {
@@ -128,6 +131,8 @@
 		q.frame(now, m.link, m.message)
 	case callEnded:
 		q.ended(now, m)
+	case callAnswers:
+		q.scheduler.firstOutput(now, m.key)
 	case queueBooking:
 		q.booking(now, m.run)
 	case setSlots:
@@ -172,7 +177,7 @@
 		return
 	}
 	answer := q.scheduler.offer(now, item{
-		key: key, account: m.Account, weight: m.Weight, class: m.Class, cost: m.Cost, deadline: deadline,
+		key: key, account: m.Account, weight: m.Weight, class: m.Class, cost: m.Cost, deadline: deadline, impatient: m.Impatient,
 	})
 	if !answer.queued {
 		q.refuse(now, o, key, answer.reason, answer.retryAfter)
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -19,6 +19,8 @@
 	booking  bool
 	cost     int64
 	deadline time.Time
+	// impatient work is refused unless it can run at once.
+	impatient bool
 }
 
 // answer is the scheduler's answer to an offer.
@@ -37,8 +39,10 @@
 	scheduler *admission.Scheduler
 }
 
-func newFairQueue(slots int) *fairQueue {
-	c := admission.Config{Slots: slots, UrgentSlots: urgentSlots(slots)}
+// newFairQueue returns an empty queue. Beside an engine the prompts of less
+// urgent work are paced.
+func newFairQueue(slots int, engine bool) *fairQueue {
+	c := admission.Config{Slots: slots, UrgentSlots: urgentSlots(slots), Pace: engine}
 	return &fairQueue{config: c, scheduler: admission.New(c)}
 }
 
@@ -69,6 +73,7 @@
 func (f *fairQueue) offer(now time.Time, i item) answer {
 	d := f.scheduler.Offer(now, admission.Item{
 		ID: admission.ID(i.key), Account: i.account, Weight: i.weight, Class: i.class, Booking: i.booking, Cost: i.cost, Deadline: i.deadline,
+		Impatient: i.impatient,
 	})
 	a := answer{queued: d.Queued, reason: d.Reason, retryAfter: d.RetryAfter}
 	for _, x := range d.Displaced {
@@ -88,6 +93,11 @@
 	f.scheduler.Charge(now, admission.ID(key), cost)
 }
 
+// firstOutput says that an item has begun to answer.
+func (f *fairQueue) firstOutput(now time.Time, key execution.Key) {
+	f.scheduler.FirstOutput(now, admission.ID(key))
+}
+
 // withdraw removes a waiting item.
 func (f *fairQueue) withdraw(key execution.Key) bool {
 	return f.scheduler.Withdraw(admission.ID(key))
