--- a/internal/link/run.go
+++ b/internal/link/run.go
@@ -39,6 +39,7 @@
 	inbound  *task.Mailbox[inbound]
 	beat     message.Heartbeat
 	heard    time.Time
+	delay    delayGauge
 	role     message.Role
 	deliver  context.Context
 	frame    []byte
@@ -65,7 +66,7 @@
 // compatible reports whether the peer's Hello can be answered with work.
 func (r *runner) compatible() bool {
 	peer := r.link.peer
-	return peer.Version == message.ProtocolVersion &&
+	return peer.Version == message.ProtocolVersion && r.link.identity.matches(peer) &&
 		(peer.Role == message.RoleEntry || peer.Role == message.RoleSidecar)
 }
 
