entry, routing: use one retry budget and drop the unused link subsets

The entry had a retry budget of its own, and since control's membership lets each replica choose its entries, routing.Subset and its test guarded nothing that runs.

--- a/internal/decide/routing/rendezvous.go
+++ b/internal/decide/routing/rendezvous.go
@@ -6,8 +6,6 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/anvilpoint/anvilpoint/internal/ident"
 )
 
 // Weight is the rendezvous score (highest random weight) of a name for a key.
@@ -44,18 +42,3 @@
 	}
 	return best
 }
-
-// DefaultSubset is how many replicas an entry links to at the target size. With
-// 370 entries and 2,700 replicas each replica then has 6 or 7 entries.
-const DefaultSubset = 48
-
-// Subset returns the servers that an entry holds links to: all of them if they
-// are few, else the given number with the highest rendezvous scores for this
-// entry. A change of one server or entry changes one link of the others at most.
-func Subset(entry ident.InstanceID, servers []Server, size int) []Server {
-	if len(servers) <= size {
-		return servers
-	}
-	key := xxhash.Sum64String(string(entry))
-	return top(servers, size, func(s Server) uint64 { return Weight(key, replicaName(s)) })
-}
--- a/internal/decide/routing/router_test.go
+++ b/internal/decide/routing/router_test.go
@@ -127,42 +127,6 @@
 	must.Eq(t, 400, share(r, start, 400, "s3"))
 }
 
-// Guards against subsets that leave a replica without entries or that change
-// wholly when one replica goes.
-func TestSubsetAtTargetSize(t *testing.T) {
-	list := servers(2700)
-	count := map[ident.ServerID]int{}
-	kept := 0
-	for e := range 370 {
-		name := ident.InstanceID(fmt.Sprintf("entry-%d", e))
-		subset := routing.Subset(name, list, routing.DefaultSubset)
-		must.Len(t, routing.DefaultSubset, subset)
-		before := map[ident.ServerID]bool{}
-		for _, s := range subset {
-			count[s.ID]++
-			before[s.ID] = true
-		}
-		for _, s := range routing.Subset(name, list[1:], routing.DefaultSubset) {
-			if before[s.ID] {
-				kept++
-			}
-		}
-	}
-	must.MapLen(t, 2700-missing(list, count), count)
-	must.Less(t, 20, missing(list, count))
-	must.GreaterEq(t, 370*routing.DefaultSubset-20, kept)
-}
-
-func missing(list []routing.Server, count map[ident.ServerID]int) int {
-	n := 0
-	for _, s := range list {
-		if count[s.ID] == 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // Guards against retries that multiply an overload.
 func TestRetryBudget(t *testing.T) {
 	var b routing.RetryBudget
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/anvilpoint/anvilpoint/chart"
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
+	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/link"
@@ -91,7 +92,7 @@
 	wires    map[wireKey]*flight
 	servers  map[ident.ServerID]*server
 	timers   timerHeap
-	budget   retryBudget
+	budget   routing.RetryBudget
 	next     ticket
 	stopping bool
 	touched  []*flight
@@ -108,7 +109,7 @@
 		picker:  p, held: make(held), random: random, instance: instance,
 		flights: make(map[ticket]*flight), wires: make(map[wireKey]*flight),
 		servers: make(map[ident.ServerID]*server),
-		budget:  newRetryBudget(), events: events, metrics: m,
+		events:  events, metrics: m,
 	}
 	var err error
 	d.machines, err = request.NewMachines(d.observe)
@@ -234,7 +235,7 @@
 		d.chooseHolder(now, f, a)
 		return
 	}
-	if a.Retry && !d.budget.take() {
+	if a.Retry && !d.budget.Take() {
 		d.advance(now, f, request.NoServer{Outcome: outcome.DidNotRun(outcome.ReasonRetryBudget, ""), Final: true})
 		return
 	}
@@ -315,7 +316,7 @@
 
 func (d *dispatch) end(f *flight, a request.End) {
 	if a.Outcome.Kind == outcome.Completed {
-		d.budget.earn()
+		d.budget.Success()
 	}
 	d.metrics.requests.WithLabelValues(string(a.Outcome.Kind), string(a.Outcome.Reason)).Inc()
 	f.hand(&ending{outcome: a.Outcome, retryAfter: a.RetryAfter, done: f.done})
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -90,26 +90,3 @@
 	d.stepping = nil
 	d.carryOut(now, f, actions)
 }
-
-// Retries draw on a budget so that they cannot multiply an overload: a tenth of
-// a retry is earned by each completed request.
-const (
-	retryEarned = 0.1
-	retryMost   = 100
-	retryFirst  = 10
-)
-
-// retryBudget is the number of retries that may be made now.
-type retryBudget struct{ left float64 }
-
-func newRetryBudget() retryBudget { return retryBudget{left: retryFirst} }
-
-func (b *retryBudget) earn() { b.left = min(b.left+retryEarned, retryMost) }
-
-func (b *retryBudget) take() bool {
-	if b.left < 1 {
-		return false
-	}
-	b.left--
-	return true
-}
--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -137,16 +137,19 @@
 	s.stepping = true
 	r.after(s.plan(), func() {
 		s.stepping = false
-		before := make(map[*request]bool)
+		var waited []*request
 		for _, q := range s.running {
-			before[q] = q.first.IsZero()
+			if q.first.IsZero() {
+				waited = append(waited, q)
+			}
 		}
 		ended := s.finish(r.now)
-		for q, waited := range before {
-			if waited && !q.first.IsZero() {
-				s.queue.FirstOutput(r.now, q.id)
+		for _, q := range waited {
+			if q.first.IsZero() {
+				continue
 			}
-			if waited && !q.first.IsZero() && !r.policy.Global {
+			s.queue.FirstOutput(r.now, q.id)
+			if !r.policy.Global {
 				r.routers[q.entry].Step(r.now, routing.FirstToken{Server: s.id, Request: q.id.Request, After: q.first.Sub(q.arrived)})
 			}
 		}
