routing: let the other ranks of a group take what one rank failed

A request that had tried one rank of a group found the whole group excluded, and dev's TestProductStreamSurvivesEngineCrash saw a stream end with a problem.

--- a/internal/decide/routing/pick.go
+++ b/internal/decide/routing/pick.go
@@ -26,7 +26,7 @@
 		return "", r.noServer(now, q), false
 	}
 	p := r.choose(now, q, fit)
-	server, ok := p.member()
+	server, ok := p.member(q.Tried)
 	if !ok {
 		return "", outcome.DidNotRun(outcome.ReasonNoServer, "No backend server of the model can be reached."), false
 	}
@@ -114,7 +114,7 @@
 	s += float64(c.replica.prompts) / r.config.PrefillRate
 	s += r.distance(c.replica.members[0]).Seconds()
 	if q.Prefix != 0 {
-		server, _ := c.replica.member()
+		server, _ := c.replica.member(q.Tried)
 		s -= r.hints.confidence(now, server, q.Prefix, c.prior) * float64(q.PrefixTokens) / r.config.PrefillRate
 	}
 	return s
--- a/internal/decide/routing/replica.go
+++ b/internal/decide/routing/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/chart"
@@ -200,11 +201,12 @@
 }
 
 // member returns the server of the replica that takes the request: for a group
-// the linked rank with the fewest requests of this entry.
-func (p *replica) member() (ident.ServerID, bool) {
+// the linked rank with the fewest requests of this entry, without those that
+// the request has tried.
+func (p *replica) member(tried []ident.ServerID) (ident.ServerID, bool) {
 	var best ident.ServerID
 	for _, s := range p.members {
-		if !p.down[s.ID] && (best == "" || p.at[s.ID] < p.at[best]) {
+		if !p.down[s.ID] && !slices.Contains(tried, s.ID) && (best == "" || p.at[s.ID] < p.at[best]) {
 			best = s.ID
 		}
 	}
--- a/internal/decide/routing/router.go
+++ b/internal/decide/routing/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/chart"
@@ -161,7 +160,7 @@
 
 func (p *replica) setLink(now time.Time, m Link) {
 	p.down[m.Server] = !m.Up
-	_, linked := p.member()
+	_, linked := p.member(nil)
 	switch {
 	case linked && p.life.In("unlinked"):
 		p.life.Fire(now, "linkUp")
@@ -224,8 +223,10 @@
 	return list
 }
 
+// tried reports whether no member is left that the request has not tried.
 func (p *replica) tried(servers []ident.ServerID) bool {
-	return slices.ContainsFunc(p.members, func(s Server) bool { return slices.Contains(servers, s.ID) })
+	_, left := p.member(servers)
+	return !left
 }
 
 // Explain returns the state and the number of this entry's running requests at
--- a/internal/decide/routing/router_test.go
+++ b/internal/decide/routing/router_test.go
@@ -121,6 +121,12 @@
 	}
 	r.Step(start, routing.Membership{Servers: list})
 	must.Between(t, 150, share(r, start, 400, "s3"), 250)
+	// A rank that failed a request does not take the other ranks with it.
+	q := request(1)
+	q.Tried = []ident.ServerID{"s0", "s1", "s3"}
+	left, _, ok := r.Pick(start, q)
+	must.True(t, ok)
+	must.Eq(t, "s2", left)
 	for n := range 3 {
 		r.Step(start, routing.Link{Server: list[n].ID, Up: false})
 	}
