spread: ask the configuration service again every second

A lost answer to a long poll was noticed only when the poll ended. Steady state is 7 reads/s at 400 processes (8 watchers) against the bound of 50.

--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -53,7 +53,7 @@
 // Defaults returns the constants of the design page for a process.
 func Defaults(self ident.InstanceID, watches bool) Config {
 	return Config{
-		Self: self, Watches: watches, Watchers: 2, Wait: 25 * time.Second, AskTime: time.Second,
+		Self: self, Watches: watches, Watchers: 2, Wait: time.Second, AskTime: time.Second,
 		RetryTime: 300 * time.Millisecond, Tries: 4, PullTimeout: 500 * time.Millisecond,
 		JitterTime: 200 * time.Millisecond, BackOffMin: 500 * time.Millisecond, BackOffMax: 5 * time.Second,
 	}
--- a/internal/decide/spread/watch.go
+++ b/internal/decide/spread/watch.go
@@ -22,7 +22,7 @@
 // unchangedLimit is the number of reads without a newer value after which the
 // value is read again, about every 10 minutes. At target size that is 1.4 KB/s
 // for a watcher.
-const unchangedLimit = 24
+const unchangedLimit = 600
 
 // reader is what the watch knows of the configuration service.
 type reader struct {
