--- a/internal/load/controlsim/link.go
+++ b/internal/load/controlsim/link.go
@@ -57,7 +57,7 @@
 		Version: message.ProtocolVersion, Role: from.Role, Instance: from.ID, Server: from.Server,
 		Domain: from.Domain, Incarnation: from.Incarnation, Record: from.Node.Digest(),
 	}
-	l.count(&hello)
+	l.count(from, &hello)
 	l.transmit(side, func() { l.world.step(to, control.LinkUp{Hello: hello}) })
 }
 
@@ -102,7 +102,7 @@
 func (l *link) send(p *Process, m message.Message) {
 	side := l.side(p)
 	to := l.ends[1-side]
-	m = l.count(m)
+	m = l.count(p, m)
 	if l.world.Random.Float64() < l.world.Config.Loss {
 		l.world.Traffic.Lost++
 		return
@@ -136,7 +136,7 @@
 }
 
 // count passes the message through the codec, as it would travel.
-func (l *link) count(m message.Message) message.Message {
+func (l *link) count(from *Process, m message.Message) message.Message {
 	t := &l.world.Traffic
 	t.Messages++
 	if !l.world.Config.Encode {
@@ -155,6 +155,7 @@
 	size := uint64(len(frame) + frameOverhead)
 	t.Bytes += size
 	t.Frames += uint64(len(frame) + 4)
+	t.Sent[from.Role] += size
 	t.ByKind[message.KindOf(m)] += size
 	return decoded.Message
 }
--- a/internal/load/controlsim/measure_test.go
+++ b/internal/load/controlsim/measure_test.go
@@ -105,7 +105,7 @@
 	first := p.everywhere(t, 10*time.Millisecond)
 	w.Run(20 * time.Second)
 	traffic := w.Traffic
-	w.Traffic.ByKind = make(map[message.Kind]uint64)
+	w.Traffic.ByKind, w.Traffic.Sent = make(map[message.Kind]uint64), make(map[message.Role]uint64)
 	begin := w.Now
 	var all []time.Duration
 	for range 5 {
@@ -118,8 +118,9 @@
 	messages := float64(w.Traffic.Messages-traffic.Messages) / seconds
 	busy := (w.Traffic.Busy - traffic.Busy).Seconds() / seconds
 	worst, steady := reads(w, begin)
-	out := fmt.Sprintf("%d processes (%d entries): first record everywhere %s, later ones at most %s; %.0f B/s sent per process; an entry sends %.1f messages/s, %.0f B/s of frames, %.0f B/s with the headers of idle links; %.3f%% of a core and %.2f MB per process; configuration service %.2f reads/s, worst second %d;",
-		n, entries, first, percentile(all, 1), bytes/float64(n), messages/2/float64(entries), frames/2/float64(entries), bytes/2/float64(entries), 100*busy/float64(n), float64(heap()-before)/1e6/float64(n), steady, worst)
+	out := fmt.Sprintf("%d processes (%d entries): first record everywhere %s, later ones at most %s; %.0f B/s sent per process; on the links of an entry %.1f messages/s and %.0f B/s of frames each way; with the headers of idle links an entry sends %.0f B/s and a sidecar %.0f; %.3f%% of a core and %.2f MB per process; configuration service %.2f reads/s, worst second %d;",
+		n, entries, first, percentile(all, 1), bytes/float64(n), messages/2/float64(entries), frames/2/float64(entries),
+		float64(w.Traffic.Sent[message.RoleEntry])/seconds/float64(entries), float64(w.Traffic.Sent[message.RoleSidecar])/seconds/float64(sidecars), 100*busy/float64(n), float64(heap()-before)/1e6/float64(n), steady, worst)
 	for kind, b := range w.Traffic.ByKind {
 		out += fmt.Sprintf(" kind %d %.0f B/s", kind, float64(b)/seconds/float64(n))
 	}
--- a/internal/load/controlsim/world.go
+++ b/internal/load/controlsim/world.go
@@ -72,6 +72,8 @@
 	// Frames are the bytes of the encoded messages. Bytes adds the headers of a
 	// link that carries nothing else.
 	Frames, Bytes uint64
+	// Sent are the bytes by role of the sender.
+	Sent map[message.Role]uint64
 	// ByKind are the bytes by kind of message.
 	ByKind map[message.Kind]uint64
 	// Busy is the processor time spent in decisions and encoding.
@@ -120,7 +122,7 @@
 		Engines: make(map[ident.ServerID]*Engine), byID: make(map[ident.InstanceID]*Process),
 		Blocked: func(_, _ *Process) bool { return false },
 		values:  newValueStore(), codec: frames,
-		Traffic: Traffic{ByKind: make(map[message.Kind]uint64)},
+		Traffic: Traffic{ByKind: make(map[message.Kind]uint64), Sent: make(map[message.Role]uint64)},
 	}
 	w.Service = &Service{world: w}
 	w.addProcesses()
