--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -24,6 +24,11 @@
 		r.after(hop, func() { r.arrive(r.servers[0], q) })
 		return
 	}
+	if q.load.Booking {
+		// A booking goes to the home of its key.
+		r.after(hop, func() { r.arrive(r.servers[q.home%replicas], q) })
+		return
+	}
 	router := r.routers[q.entry]
 	query := q.query()
 	id, _, ok := router.Pick(r.now, query)
@@ -82,7 +87,7 @@
 
 // refuse tells the entry, which asks another replica.
 func (r *run) refuse(s *server, q *request, busy bool) {
-	if r.policy.Global {
+	if r.policy.Global || q.load.Booking {
 		q.refused = true
 		return
 	}
@@ -138,6 +143,9 @@
 		}
 		ended := s.finish(r.now)
 		for q, waited := range before {
+			if waited && !q.first.IsZero() {
+				s.queue.FirstOutput(r.now, q.id)
+			}
 			if waited && !q.first.IsZero() && !r.policy.Global {
 				r.routers[q.entry].Step(r.now, routing.FirstToken{Server: s.id, Request: q.id.Request, After: q.first.Sub(q.arrived)})
 			}
