--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -140,7 +140,10 @@
 func (n *Node) emit(o Out) { n.out = append(n.out, o) }
 
 func (n *Node) linkUp(h message.Hello) {
-	n.heard(h)
+	// Sidecars do not watch each other; links between them may be quiet for long.
+	if n.config.Membership.Role == message.RoleEntry || h.Role == message.RoleEntry {
+		n.heard(h)
+	}
 	n.stepSpread(spread.LinkUp{Peer: h.Instance, Record: h.Record})
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -17,6 +17,10 @@
 // Timing of a link.
 const (
 	heartbeatInterval = time.Second
+	// entryInterval is longer, since an entry reports no load and its changes are
+	// sent at once. With 51 links to sidecars at target size, heartbeats every
+	// second would take more than the 4 KB/s of a node.
+	entryInterval = 3 * time.Second
 	// sidecarInterval is the interval between two sidecars. A leader of 256 ranks
 	// has 255 such links; at one heartbeat a second they alone would cost it nine
 	// times the 4 KB/s that a node may use for control.
--- a/internal/link/run.go
+++ b/internal/link/run.go
@@ -203,24 +203,30 @@
 
 func (r *runner) tick(ctx context.Context, now time.Time) {
 	r.life.Tick(now)
-	interval := r.interval()
-	if now.Sub(r.heard) > silenceLimit+3*(interval-heartbeatInterval) || r.life.Done() {
+	expected := Interval(r.link.peer.Role, r.role)
+	if now.Sub(r.heard) > silenceLimit+3*(expected-heartbeatInterval) || r.life.Done() {
 		r.isClosed = end{reason: reasonSilent, err: errors.New("nothing arrived")}
 		r.close(reasonSilent, r.isClosed.err)
 		return
 	}
-	// Between sidecars, any other message stands for a heartbeat.
-	if r.life.In("open") && (interval == heartbeatInterval || now.Sub(r.wrote) > interval) {
+	// Any other message stands for a heartbeat, except where heartbeats carry load.
+	interval := Interval(r.role, r.link.peer.Role)
+	if r.life.In("open") && (interval == heartbeatInterval || now.Sub(r.wrote) > interval-heartbeatInterval/2) {
 		r.sendBeat(ctx)
 	}
 }
 
-// interval is the time between heartbeats that change nothing.
-func (r *runner) interval() time.Duration {
-	if r.role == message.RoleSidecar && r.link.peer.Role == message.RoleSidecar {
+// Interval is the time between heartbeats that change nothing, by the roles of
+// sender and receiver.
+func Interval(from, to message.Role) time.Duration {
+	switch {
+	case from == message.RoleSidecar && to == message.RoleSidecar:
 		return sidecarInterval
+	case from == message.RoleEntry && to == message.RoleSidecar:
+		return entryInterval
+	default:
+		return heartbeatInterval
 	}
-	return heartbeatInterval
 }
 
 func (r *runner) sendBeat(ctx context.Context) {
--- a/internal/load/controlsim/process.go
+++ b/internal/load/controlsim/process.go
@@ -83,7 +83,7 @@
 		Server:     p.Server,
 		Parse:      w.values.parse,
 	}
-	config.Membership.Interval = w.Config.Heartbeat
+	config.Membership.Interval = w.interval(message.RoleEntry, p.Role)
 	if !w.Config.RealHistory {
 		config.History = newNamedHistory(w.values)
 	}
@@ -111,6 +111,15 @@
 	p.connect()
 }
 
+// interval is the time between heartbeats. As in the product, a quiet entry
+// sends to sidecars at a third of the rate.
+func (w *World) interval(from, to message.Role) time.Duration {
+	if from == message.RoleEntry && to == message.RoleSidecar {
+		return 3 * w.Config.Heartbeat
+	}
+	return w.Config.Heartbeat
+}
+
 // Crash ends the process at once. Its sockets close.
 func (p *Process) Crash() {
 	if p.down {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -60,6 +60,7 @@
 func New(now time.Time, config Config) *Peering {
 	members := membership.Defaults(config.Self, config.Role, config.Domain, config.Incarnation)
 	members.Address = config.Address
+	members.Interval = link.Interval(message.RoleEntry, config.Role)
 	nodeConfig := control.Config{
 		Seed: config.Seed, Membership: members, Server: config.Server,
 		Spread: spread.Defaults(config.Self, config.Role == message.RoleEntry),
