spread: let one entry deliver a record to a sidecar

Each of the 7 entries linked to a sidecar pushed every patch. An entry now waits up to 200 ms, and mostly another one delivers first.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -144,7 +144,7 @@
 	if n.config.Membership.Role == message.RoleEntry || h.Role == message.RoleEntry {
 		n.heard(h)
 	}
-	n.stepSpread(spread.LinkUp{Peer: h.Instance, Record: h.Record})
+	n.stepSpread(spread.LinkUp{Peer: h.Instance, Record: h.Record, Sidecar: h.Role == message.RoleSidecar})
 }
 
 func (n *Node) heard(h message.Hello) {
--- a/internal/decide/spread/message.go
+++ b/internal/decide/spread/message.go
@@ -14,6 +14,8 @@
 type LinkUp struct {
 	Peer   ident.InstanceID
 	Record message.Digest
+	// Sidecar says that the peer is a sidecar, to which several entries link.
+	Sidecar bool
 }
 
 // LinkDown reports the end of a link.
--- a/internal/decide/spread/peer.go
+++ b/internal/decide/spread/peer.go
@@ -15,8 +15,10 @@
 	owner *Spread
 	id    ident.InstanceID
 	// record is the newest record that the peer is known to have.
-	record   message.Digest
-	tries    int
+	record message.Digest
+	tries  int
+	// held says that several processes deliver to this peer.
+	held     bool
 	delivery *chart.Instance[*peer]
 }
 
@@ -29,11 +31,21 @@
 		},
 		Actions: map[string]func(*peer){"sendRecord": (*peer).sendRecord},
 		Delays: map[string]func(*peer) time.Duration{
+			"holdTime":  (*peer).holdTime,
 			"retryTime": func(p *peer) time.Duration { return p.owner.config.RetryTime },
 		},
 	}
 }
 
+// holdTime is random for a sidecar, so that mostly one of the entries linked to
+// it delivers a record.
+func (p *peer) holdTime() time.Duration {
+	if !p.held {
+		return 0
+	}
+	return p.owner.upTo(p.owner.config.HoldTime)
+}
+
 func (p *peer) behind() bool { return p.record.Less(p.owner.inForce) }
 
 // raise notes a digest that the peer has. Digests that arrive out of order do
@@ -56,7 +68,7 @@
 }
 
 func (s *Spread) linkUp(in LinkUp) {
-	p := &peer{owner: s, id: in.Peer}
+	p := &peer{owner: s, id: in.Peer, held: in.Sidecar}
 	s.peers[in.Peer] = p
 	p.delivery = s.deliver.New(s.now, p)
 	s.peerRecord(in.Peer, in.Record)
@@ -71,7 +83,7 @@
 	if record == p.record {
 		p.delivery.Fire(s.now, "confirmed")
 	}
-	if p.behind() && !p.delivery.In("repeating") {
+	if p.behind() && !p.delivery.In("repeating") && !p.delivery.In("holding") {
 		// The peer missed the pushes, or it has just linked. One try for each
 		// heartbeat is enough, since a peer that refuses the record stays behind.
 		p.tries = s.config.Tries - 1
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -38,6 +38,8 @@
 	Wait time.Duration
 	// AskTime is how long a new process waits for its peers.
 	AskTime time.Duration
+	// HoldTime bounds the random pause before a push to a sidecar.
+	HoldTime time.Duration
 	// RetryTime is how long a push waits for the peer's digest.
 	RetryTime time.Duration
 	// Tries is the number of pushes before the heartbeats take over.
@@ -54,7 +56,7 @@
 func Defaults(self ident.InstanceID, watches bool) Config {
 	return Config{
 		Self: self, Watches: watches, Watchers: 2, Wait: time.Second, AskTime: time.Second,
-		RetryTime: 300 * time.Millisecond, Tries: 4, PullTimeout: 500 * time.Millisecond,
+		HoldTime: 200 * time.Millisecond, RetryTime: 300 * time.Millisecond, Tries: 4, PullTimeout: 500 * time.Millisecond,
 		JitterTime: 200 * time.Millisecond, BackOffMin: 500 * time.Millisecond, BackOffMax: 5 * time.Second,
 	}
 }
@@ -229,6 +231,7 @@
 			s.act(SendDigest{To: id})
 		}
 		p.delivery.Fire(s.now, "changed")
+		p.delivery.Tick(s.now)
 	}
 }
 
