--- a/internal/load/controlsim/engine.go
+++ b/internal/load/controlsim/engine.go
@@ -14,7 +14,6 @@
 	// up to maxDelay, less than the time for which a new process settles.
 	engineLatency = time.Millisecond
 	maxDelay      = 2 * time.Second
-	delayedShare  = 0.2
 	loadTime      = 200 * time.Millisecond
 )
 
@@ -32,7 +31,7 @@
 }
 
 func (e *Engine) delay() time.Duration {
-	if e.world.Random.Float64() < delayedShare {
+	if e.world.Random.Float64() < e.world.Config.Delayed {
 		return time.Duration(e.world.Random.Int63n(int64(maxDelay)))
 	}
 	return engineLatency
--- a/internal/load/controlsim/random_test.go
+++ b/internal/load/controlsim/random_test.go
@@ -66,7 +66,7 @@
 }
 
 func newRun(t testing.TB, seed int64, values [][]byte) *run {
-	w, err := controlsim.New(controlsim.Config{Seed: seed, Domains: 3, Entries: 3, Sidecars: 6, Loss: 0.2})
+	w, err := controlsim.New(controlsim.Config{Seed: seed, Domains: 3, Entries: 3, Sidecars: 6, Loss: 0.2, Delayed: 0.2})
 	must.NoError(t, err)
 	r := &run{t: t, world: w, values: values, cut: make(map[[2]ident.InstanceID]bool)}
 	w.Blocked = func(from, to *controlsim.Process) bool { return r.cut[[2]ident.InstanceID{from.ID, to.ID}] }
--- a/internal/load/controlsim/world.go
+++ b/internal/load/controlsim/world.go
@@ -28,6 +28,8 @@
 	// Loss is the share of messages that are lost, on links and on answers of the
 	// configuration service.
 	Loss float64
+	// Delayed is the share of calls to engines that take up to 2 s.
+	Delayed float64
 	// Heartbeat is the time between heartbeats on a link.
 	Heartbeat time.Duration
 	// Tick is the time between ticks of a process.
--- a/internal/platform/instances.go
+++ b/internal/platform/instances.go
@@ -18,6 +18,13 @@
 // listInterval is the mean time between two reads of the instance list.
 const listInterval = time.Second
 
+// intervalPerInstance slows the reads of a long list down. At target size the
+// list is about 370 KB; every process reads it every 3 min, at 2 KB/s.
+const intervalPerInstance = 60 * time.Millisecond
+
+// shortList is the length up to which the list is read at the full rate.
+const shortList = 50
+
 // maxListBytes bounds the answer of the instance list.
 const maxListBytes = 4 << 20
 
@@ -65,7 +72,8 @@
 			return nil
 		}
 		p.Deliver(ctx, List{Instances: instances, Err: err})
-		if !sleep(ctx, jitter(p.Random, listInterval)) {
+		pause := max(listInterval, time.Duration(len(instances)-shortList)*intervalPerInstance)
+		if !sleep(ctx, jitter(p.Random, pause)) {
 			return nil
 		}
 	}
