--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -61,8 +61,10 @@
 	dialers map[string]context.CancelFunc
 	// peers are the running diallers to other entries, and joined is when they
 	// were last adjusted.
-	peers    map[ident.InstanceID]context.CancelFunc
-	joined   time.Time
+	peers  map[ident.InstanceID]context.CancelFunc
+	joined time.Time
+	// seeds are the addresses of entries from the settings.
+	seeds    []string
 	round    uint64
 	dial     func(ctx context.Context, address string)
 	dispatch *task.Mailbox[dispatchMessage]
@@ -102,6 +104,9 @@
 // run is the task. It returns once the process is stopped.
 func (c *control) run(ctx context.Context) error {
 	defer c.mailbox.Close()
+	for _, address := range c.seeds {
+		c.dial(ctx, address)
+	}
 	tick := time.NewTicker(controlTick)
 	defer tick.Stop()
 	for !c.life.Done() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -149,6 +149,7 @@
 	p.reader = platform.NewReader(s.ConfigService, platform.Client(p.options.Network), func(ctx context.Context, a platform.ReadAnswer) {
 		p.control.mailbox.Send(ctx, configRead{answer: a})
 	})
+	p.control.seeds = slices.DeleteFunc(slices.Clone(s.Peers), func(address string) bool { return address == s.LinkListen })
 	p.control.peering = peering.New(now, peering.Config{
 		Self: s.Instance, Role: message.RoleEntry, Domain: s.Domain, Address: s.LinkListen, Incarnation: p.start,
 		Seed: p.random(4).Int64(), Logger: p.options.Logger, Events: p.options.Events,
