orders: wait for the effect of an accepted order

The stand-in engine loads adapters in the background and answers at once. Each read-back found the adapter missing, and a sidecar sent the same order about every 4 ms (6,379 orders in 12 s of anvilpoint dev). An accepted order is now repeated after 30 s at the earliest. The engine model of controlsim answers at once too; without the wait the retreat test fails with 205 orders instead of 3.

--- a/internal/decide/orders/orders.go
+++ b/internal/decide/orders/orders.go
@@ -26,6 +26,9 @@
 	CheckTime time.Duration
 	// ReadTimeout and OrderTimeout bound the calls to the engine.
 	ReadTimeout, OrderTimeout time.Duration
+	// RepeatTime is how long an accepted order may take to show its effect before
+	// it is sent again.
+	RepeatTime time.Duration
 	// CutOffTime is the pause before a process that is cut off looks again.
 	CutOffTime time.Duration
 	// BackOffMin and BackOffMax bound the pause after failed orders.
@@ -36,7 +39,7 @@
 func Defaults() Config {
 	return Config{
 		Lease: 3 * time.Second, SettleTime: 5 * time.Second, CheckTime: 10 * time.Second,
-		ReadTimeout: 2 * time.Second, OrderTimeout: 10 * time.Minute, CutOffTime: time.Second,
+		ReadTimeout: 2 * time.Second, OrderTimeout: 10 * time.Minute, CutOffTime: time.Second, RepeatTime: 30 * time.Second,
 		BackOffMin: 500 * time.Millisecond, BackOffMax: 30 * time.Second,
 	}
 }
@@ -54,8 +57,13 @@
 	connected bool
 	number    uint32
 	last      ident.FencingToken
-	failures  int
-	actions   []Action
+	// sent is the latest order and sentAt its time. An engine carries out orders
+	// in the background, so the effect of an accepted order shows later.
+	sent     Order
+	sentAt   time.Time
+	accepted bool
+	failures int
+	actions  []Action
 }
 
 // New returns a process that knows neither the record nor the engine's state.
@@ -164,9 +172,19 @@
 		return false
 	}
 	order, _ := o.next()
+	if o.underWay(order) {
+		return false
+	}
 	return order.Kind == SetRole || !o.now.Before(o.due)
 }
 
+// underWay reports whether the order was accepted a short time ago.
+func (o *Orders) underWay(next Order) bool {
+	last := o.sent
+	last.Token, last.Revision, last.Until = 0, 0, time.Time{}
+	return o.accepted && next == last && o.now.Sub(o.sentAt) < o.config.RepeatTime
+}
+
 // next returns the first order on the way to the desired state.
 func (o *Orders) next() (Order, bool) {
 	want, have := o.desired.State, o.observed.State
@@ -191,7 +209,7 @@
 	order.Revision = o.desired.Revision
 	order.Until = o.leaseEnd()
 	invariant.Check(order.Token > o.last, "fencing tokens grow", "%d after %d", order.Token, o.last)
-	o.last = order.Token
+	o.last, o.sent, o.sentAt, o.accepted = order.Token, order, o.now, false
 	o.act(order)
 }
 
@@ -212,6 +230,7 @@
 	}
 	switch in.Result {
 	case Done:
+		o.accepted = true
 		o.life.Fire(o.now, "done")
 	case Refused, NotSent:
 		o.life.Fire(o.now, "refused")
--- a/internal/load/controlsim/engine.go
+++ b/internal/load/controlsim/engine.go
@@ -75,10 +75,9 @@
 	}
 	e.highest = max(e.highest, o.Token)
 	e.Obeyed++
-	e.world.After(loadTime, func() {
-		e.apply(o)
-		e.answer(p, incarnation, orders.Ended{Token: o.Token, Result: orders.Done})
-	})
+	// The effect shows later than the answer, as with the stand-in engine.
+	e.world.After(loadTime, func() { e.apply(o) })
+	e.answer(p, incarnation, orders.Ended{Token: o.Token, Result: orders.Done})
 }
 
 func (e *Engine) violation(format string, args ...any) {
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -77,7 +77,7 @@
 		Fencing: order.Token, Kind: string(order.Kind), Model: order.Model, Version: order.Version,
 		Adapter: order.Adapter, Role: order.Role,
 	}
-	if order.Kind != orders.SetRole {
+	if order.Kind == orders.LoadModel {
 		message.Bytes = bytes
 	}
 	if !order.MayWrite(time.Now()) {
