--- a/internal/jsonc/decode.go
+++ b/internal/jsonc/decode.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -15,6 +16,20 @@
 type decoder struct {
 	doc    *Document
 	faults Faults
+	// fields caches the field names of the struct types that were seen.
+	fields map[reflect.Type]map[string]int
+}
+
+func (d *decoder) fieldsOf(t reflect.Type) map[string]int {
+	if d.fields == nil {
+		d.fields = make(map[reflect.Type]map[string]int)
+	}
+	known, ok := d.fields[t]
+	if !ok {
+		known = fieldsOf(t)
+		d.fields[t] = known
+	}
+	return known
 }
 
 func (d *decoder) fault(v *hujson.Value, path, format string, args ...any) {
@@ -52,11 +67,11 @@
 		d.fault(v, path, "expected an object, found %s", kindOf(v))
 		return
 	}
-	fields := fieldsOf(dst.Type())
-	seen := make(map[string]bool)
+	fields := d.fieldsOf(dst.Type())
+	seen := make(map[string]bool, len(object.Members))
 	for i := range object.Members {
 		member := &object.Members[i]
-		name := member.Name.Value.(hujson.Literal).String()
+		name := text(member.Name.Value.(hujson.Literal))
 		at := joinPath(path, name)
 		if seen[name] {
 			d.fault(&member.Name, at, "the field is set twice")
@@ -114,7 +129,7 @@
 	}
 	out := reflect.MakeSlice(dst.Type(), len(array.Elements), len(array.Elements))
 	for i := range array.Elements {
-		d.value(fmt.Sprintf("%s[%d]", path, i), &array.Elements[i], out.Index(i), c)
+		d.value(path+"["+strconv.Itoa(i)+"]", &array.Elements[i], out.Index(i), c)
 	}
 	dst.Set(out)
 }
@@ -128,7 +143,7 @@
 	out := reflect.MakeMap(dst.Type())
 	for i := range object.Members {
 		member := &object.Members[i]
-		name := member.Name.Value.(hujson.Literal).String()
+		name := text(member.Name.Value.(hujson.Literal))
 		key := reflect.New(dst.Type().Key()).Elem()
 		key.SetString(name)
 		if out.MapIndex(key).IsValid() {
@@ -186,6 +201,11 @@
 		d.fault(v, path, "expected %s, found %s", wanted(dst), kindOf(v))
 		return
 	}
+	if dst.Kind() == reflect.String {
+		dst.SetString(text(literal))
+		d.check(path, v, dst, c)
+		return
+	}
 	if err := json.Unmarshal(literal, dst.Addr().Interface()); err != nil {
 		d.fault(v, path, "%s is not %s", string(literal), wanted(dst))
 		return
@@ -193,6 +213,17 @@
 	d.check(path, v, dst, c)
 }
 
+// text returns the value of a string literal. Most literals hold no escapes,
+// and their bytes are the value; the parser has checked their form.
+func text(literal hujson.Literal) string {
+	for _, c := range literal {
+		if c == '\\' || c >= utf8.RuneSelf {
+			return literal.String()
+		}
+	}
+	return string(literal[1 : len(literal)-1])
+}
+
 func literalFits(literal hujson.Literal, dst reflect.Value) bool {
 	switch dst.Kind() {
 	case reflect.String:
