record: parse the text of a bundle once

Each record of a bundle was copied and parsed again. The decoder now takes the value that is already parsed. A bundle of target size takes 110 to 127 ms and 35 MB instead of 191 to 193 ms and 57 MB (go test ./internal/record -run xxx -bench ParseTargetSize/bundle -benchtime 10x, on a loaded machine).

--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -106,9 +106,20 @@
 	if err != nil {
 		return nil, Faults{d.syntaxFault(err)}
 	}
+	return d, d.decode(&value, dst)
+}
+
+// DecodeValue is Decode for one value within data that is already parsed. The
+// value keeps its place in the file; field paths start at the value.
+func DecodeValue(file string, data []byte, value *hujson.Value, dst any) (*Document, Faults) {
+	d := &Document{file: file, data: data, places: make(map[string]int)}
+	return d, d.decode(value, dst)
+}
+
+func (d *Document) decode(value *hujson.Value, dst any) Faults {
 	dec := decoder{doc: d}
-	dec.value("", &value, reflect.ValueOf(dst).Elem(), constraints{})
-	return d, dec.faults
+	dec.value("", value, reflect.ValueOf(dst).Elem(), constraints{})
+	return dec.faults
 }
 
 func (d *Document) syntaxFault(err error) Fault {
--- a/internal/record/parse.go
+++ b/internal/record/parse.go
@@ -129,10 +129,8 @@
 	return first, envelope.Revision, faults
 }
 
-// parseOne reads one record. The element's bytes keep their place in the file,
-// so that faults have the right line and column.
+// parseOne reads one record.
 func parseOne(newest int, file string, value []byte, prefix string, element *hujson.Value) (*Snapshot, ident.Revision, jsonc.Faults) {
-	data := onlyRange(value, element.StartOffset, element.EndOffset)
 	var faults jsonc.Faults
 	var document *jsonc.Document
 	var revision ident.Revision
@@ -140,14 +138,14 @@
 	switch schema := schemaOf(element); {
 	case schema == 1 && newest >= 1:
 		f := new(schema1)
-		document, faults = jsonc.Decode(file, data, f)
+		document, faults = jsonc.DecodeValue(file, value, element, f)
 		revision, form = f.Revision, f
 	case schema == 2 && newest >= 2:
 		f := new(schema2)
-		document, faults = jsonc.Decode(file, data, f)
+		document, faults = jsonc.DecodeValue(file, value, element, f)
 		revision, form = f.Revision, f
 	default:
-		return nil, 0, jsonc.Faults{unknownSchema(newest, file, data, prefix, schema)}
+		return nil, 0, jsonc.Faults{unknownSchema(newest, file, value, prefix, element, schema)}
 	}
 	for i := range faults {
 		faults[i].Path = prefix + faults[i].Path
@@ -167,9 +165,9 @@
 	return b.snapshot, revision, nil
 }
 
-func unknownSchema(newest int, file string, data []byte, prefix string, schema int) jsonc.Fault {
+func unknownSchema(newest int, file string, value []byte, prefix string, element *hujson.Value, schema int) jsonc.Fault {
 	var none struct{}
-	document, _ := jsonc.Decode(file, data, &none)
+	document, _ := jsonc.DecodeValue(file, value, element, &none)
 	if schema == 0 {
 		f := document.At("schema", "the field is required and is a whole number from 1 to %d", newest)
 		f.Path = prefix + f.Path
@@ -206,17 +204,6 @@
 	return nil
 }
 
-// onlyRange replaces everything outside the range by spaces and keeps line ends.
-func onlyRange(value []byte, from, to int) []byte {
-	out := bytes.Repeat([]byte{' '}, len(value))
-	for i, c := range value {
-		if c == '\n' || (i >= from && i < to) {
-			out[i] = c
-		}
-	}
-	return out
-}
-
 // blankRecords empties the records of a bundle, so that the envelope can be
 // decoded without them.
 func blankRecords(value []byte, tree *hujson.Value) []byte {
