expertmap: decline at once what a rank cannot take part in

Cause: an engine that crashed during a switch, or a sidecar that was replaced during one, left the leader waiting 30 s for the loaded map (the dev test of a crashed rank took 37 s).

Change: a rank that is not in the formation a message belongs to answers with a refusal; the leader then refuses itself, which it can only before it promises.

--- a/internal/decide/expertmap/receive.go
+++ b/internal/decide/expertmap/receive.go
@@ -33,10 +33,16 @@
 		return false
 	}
 	p := &r.peers[w.From]
-	if w.Incarnation < p.incarnation || w.Addressee != 0 && w.Addressee != r.config.Incarnation {
+	if w.Incarnation < p.incarnation {
 		return false
 	}
 	p.incarnation = w.Incarnation
+	if w.Addressee != 0 && w.Addressee != r.config.Incarnation {
+		if w.Kind == Form || w.Kind == Prepare || w.Kind == Arm {
+			r.declineAs(w)
+		}
+		return false
+	}
 	return true
 }
 
@@ -58,20 +64,36 @@
 			r.send(w.From, Wire{Kind: Refuse, Epoch: w.Epoch, Floor: r.floor})
 		}
 	case Form:
-		r.formation.Fire(r.now, "propose")
-	case Prepare:
-		if inView {
-			r.change.Fire(r.now, "prepare")
-		}
-	case Arm:
-		if inView {
-			r.change.Fire(r.now, "arm")
+		if r.formation.In("apart") {
+			r.declineAs(w)
 		}
+		r.formation.Fire(r.now, "propose")
+	case Prepare, Arm:
+		r.takePart(w, inView)
 	case Commit, Abort:
 		r.formationOrSwitch(w, inView)
 	}
 }
 
+func (r *Rank) takePart(w Wire, inView bool) {
+	switch {
+	case !inView && (r.join.epoch != w.View || r.formation.In("apart")):
+		r.declineAs(w)
+	case inView && w.Kind == Prepare:
+		r.change.Fire(r.now, "prepare")
+	case inView:
+		r.change.Fire(r.now, "arm")
+	}
+}
+
+// declineAs tells a leader that this rank is not, or no longer, in the formation
+// that the message belongs to, so that the leader need not wait. The leader takes
+// it as a reason to refuse itself, which it can only while it has not promised;
+// it says nothing of what a predecessor of this rank promised.
+func (r *Rank) declineAs(w Wire) {
+	r.send(w.From, Wire{Kind: Refuse, Epoch: w.Epoch, Floor: r.floor})
+}
+
 func (r *Rank) formationOrSwitch(w Wire, inView bool) {
 	if w.Kind == Commit && w.Epoch == r.join.epoch {
 		r.formation.Fire(r.now, "commit")
