expertmap: run the timed figures of large groups only on request

Cause: with 128 and 256 ranks they take most of the test time under the race detector.

Change: -group.ranks sets the largest size, by default 32.

--- a/internal/decide/expertmap/figures_test.go
+++ b/internal/decide/expertmap/figures_test.go
@@ -173,6 +173,9 @@
 // experts; a switch changes 64 slots.
 func TestFiguresOfSwitches(t *testing.T) {
 	for _, n := range []int{8, 32, 128, 256} {
+		if n > *largest {
+			break
+		}
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
--- a/internal/decide/expertmap/random_test.go
+++ b/internal/decide/expertmap/random_test.go
@@ -14,6 +14,7 @@
 var (
 	steps     = flag.Uint64("group.steps", 20000, "engine steps of the randomised runs, over all seeds")
 	states    = flag.Int("group.states", 2000, "limit on the states of the exhaustive search, per case")
+	largest   = flag.Int("group.ranks", 32, "largest group of the timed figures: 8, 32, 128 or 256 ranks")
 	firstSeed = flag.Uint64("group.seed", 1, "first seed of the randomised runs")
 )
 
