entry: let a begun answer wait for a server instead of ending it for lack of credit

Ruled out: engines and sidecars; every cut came from the entry's own decision. Change: the waiting limit holds for requests without output only.

--- a/internal/entry/hold.go
+++ b/internal/entry/hold.go
@@ -33,7 +33,9 @@
 // waits a little; without any server that could take it, until its deadline.
 func (d *dispatch) noServer(now time.Time, f *flight, why outcome.Outcome) {
 	m := request.NoServer{Outcome: why, RetryAfter: time.Second}
-	if why.Reason == outcome.ReasonQueueFull {
+	// An answer that has begun is finished; it waits for a server as long as the
+	// life of the request allows.
+	if why.Reason == outcome.ReasonQueueFull && !f.life.Answering() {
 		m.Final = !d.hold(now, f)
 	}
 	d.advance(now, f, m)
