request: let a begun answer look for a server until its resume limit

Cause: a begun answer ended as 'link-lost' after four refusals, and an offer to a sidecar whose link had just gone counts as one. Ruled out: lack of credit alone, the retry budget, the limit of broken attempts.

--- a/internal/decide/request/life.go
+++ b/internal/decide/request/life.go
@@ -14,9 +14,12 @@
 	// maxRefusals bounds by default how many servers are asked for one request, so that an
 	// overloaded fleet is not asked in full by every request.
 	maxRefusals = 4
-	// maxFailures bounds the attempts that broke off, in case the request itself
-	// breaks its server.
-	maxFailures = 5
+	// maxFruitless bounds the attempts in a row that broke off before any output,
+	// in case the request itself breaks its server.
+	maxFruitless = 5
+	// maxFailures bounds all attempts that broke off. An answer that goes on with
+	// each attempt is worth more of them than one that never begins.
+	maxFailures = 32
 	// attemptLimit bounds how long one attempt may wait at a sidecar. A sidecar
 	// remembers a refused attempt until after its deadline, so an hour's deadline
 	// of a batch class would make it remember an hour of refusals.
@@ -54,8 +57,10 @@
 	attempts []*attempt
 	excluded []ident.ServerID
 	failures int
-	refusals int
-	whole    bool
+	// fruitless counts the failures since the last output.
+	fruitless int
+	refusals  int
+	whole     bool
 	// last is what will be said if the request ends now.
 	last       outcome.Reason
 	retryAfter time.Duration
--- a/internal/decide/request/step.go
+++ b/internal/decide/request/step.go
@@ -34,6 +34,7 @@
 		l.tooLate(now, m.Attempt)
 	case Progress:
 		if l.fire(now, m.Attempt, "chunk") != nil {
+			l.fruitless = 0
 			l.life.Fire(now, "progress")
 		}
 	case Whole:
@@ -130,7 +131,8 @@
 		l.refusals++
 		l.exclude(a.server)
 	}
-	if l.refusals >= l.plan.MaxRefusals {
+	// A begun answer looks for a server until its resume limit.
+	if l.refusals >= l.plan.MaxRefusals && !l.life.In("answering") {
 		l.life.Fire(now, "end")
 		return
 	}
@@ -162,8 +164,9 @@
 	l.do(Settle{Attempt: number, Server: a.server, Failed: true})
 	l.last = reason
 	l.failures++
+	l.fruitless++
 	l.exclude(a.server)
-	if !l.plan.Repeatable || l.failures >= maxFailures {
+	if !l.plan.Repeatable || l.fruitless >= maxFruitless || l.failures >= maxFailures {
 		l.life.Fire(now, "end")
 		return
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -240,8 +240,7 @@
 		d.chooseHolder(now, f, a)
 		return
 	}
-	// Resuming a begun answer spends no retry budget: refusing it would cut the answer.
-	if a.Retry && !f.life.Answering() && !d.budget.Take() {
+	if a.Retry && !d.budget.Take() {
 		d.advance(now, f, request.NoServer{Outcome: outcome.DidNotRun(outcome.ReasonRetryBudget, ""), Final: true})
 		return
 	}
