entry, sidecar: add the baselines that the load tool compares with

Change: setting policy with round-robin and least-outstanding, first come, first served at the sidecar; the load tool reads the group's mean step time.

--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/anvilpoint/anvilpoint/internal/entry"
+	"github.com/anvilpoint/anvilpoint/internal/settings"
 	"github.com/anvilpoint/anvilpoint/internal/sidecar"
 	"github.com/anvilpoint/anvilpoint/internal/standin/dev"
 	"github.com/anvilpoint/anvilpoint/task"
@@ -70,7 +71,7 @@
 	o := dev.Defaults()
 	o.Listen, o.Admin = c.Listen, c.Admin
 	o.Entries, o.Replicas, o.Services = c.Entries, c.Replicas, c.Services
-	o.Programs = productPrograms()
+	o.Programs = productPrograms(settings.PolicyShares)
 	if c.Domains < 1 || c.Domains > dev.MaxDomains {
 		return o, badInputf("domains must be from 1 to %d, not %d", dev.MaxDomains, c.Domains)
 	}
@@ -93,11 +94,16 @@
 	return o, nil
 }
 
-// productPrograms connects the installation to the product's processes.
-func productPrograms() dev.Programs {
+// productPrograms connects the installation to the product's processes, which
+// distribute work by the policy.
+func productPrograms(policy settings.Policy) dev.Programs {
 	return dev.Programs{
-		Entry: func(ctx context.Context, o dev.ProcessOptions) error { return entry.Run(ctx, entry.Options(o)) },
+		Entry: func(ctx context.Context, o dev.ProcessOptions) error {
+			o.Settings.Policy = policy
+			return entry.Run(ctx, entry.Options(o))
+		},
 		Sidecar: func(ctx context.Context, o dev.ProcessOptions) error {
+			o.Settings.Policy = policy
 			return sidecar.Run(ctx, sidecar.Options(o))
 		},
 	}
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -15,6 +15,7 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/load"
+	"github.com/anvilpoint/anvilpoint/internal/settings"
 	"github.com/anvilpoint/anvilpoint/internal/standin/dev"
 	"github.com/anvilpoint/anvilpoint/task"
 )
@@ -75,7 +76,7 @@
 
 func (c *loadCommand) runAll(ctx context.Context, s *load.Scenario) ([]*load.Summary, error) {
 	var summaries []*load.Summary
-	for _, policy := range append([]string{defaultPolicy}, c.Baseline...) {
+	for _, policy := range c.policies() {
 		summary, err := c.runPolicy(ctx, s, policy)
 		if err != nil {
 			return nil, errors.Wrapf(err, "policy %s", policy)
@@ -85,10 +86,16 @@
 	return summaries, nil
 }
 
-// defaultPolicy names the product's own policy in results.
-const defaultPolicy = "anvilpoint"
+// policies are the product's own policy and the chosen baselines.
+func (c *loadCommand) policies() []settings.Policy {
+	list := []settings.Policy{settings.PolicyShares}
+	for _, b := range c.Baseline {
+		list = append(list, settings.Policy(b))
+	}
+	return list
+}
 
-func (c *loadCommand) runPolicy(ctx context.Context, s *load.Scenario, policy string) (*load.Summary, error) {
+func (c *loadCommand) runPolicy(ctx context.Context, s *load.Scenario, policy settings.Policy) (*load.Summary, error) {
 	if s.Target.Dev == nil {
 		return c.measure(ctx, s, policy, load.Environment{Addresses: s.Target.Addresses, Admin: s.Target.Admin})
 	}
@@ -115,7 +122,7 @@
 }
 
 // devOptions fits the dev environment to the scenario.
-func (c *loadCommand) devOptions(s *load.Scenario, policy string) (dev.Options, error) {
+func (c *loadCommand) devOptions(s *load.Scenario, policy settings.Policy) (dev.Options, error) {
 	o := dev.Defaults()
 	d := s.Target.Dev
 	o.Listen, o.Admin = "127.0.0.1:0", "127.0.0.1:0"
@@ -130,7 +137,7 @@
 	for _, a := range s.Accounts {
 		o.Accounts = append(o.Accounts, dev.Account(a.ID, a.Key, a.Weight))
 	}
-	o.Programs = productPrograms()
+	o.Programs = productPrograms(policy)
 	if c.Events == "" {
 		return o, nil
 	}
@@ -142,12 +149,12 @@
 	return o, nil
 }
 
-func (c *loadCommand) measure(ctx context.Context, s *load.Scenario, policy string, e load.Environment) (*load.Summary, error) {
-	results, err := load.Run(ctx, s, e, c.progress(policy))
+func (c *loadCommand) measure(ctx context.Context, s *load.Scenario, policy settings.Policy, e load.Environment) (*load.Summary, error) {
+	results, err := load.Run(ctx, s, e, c.progress(string(policy)))
 	if err != nil {
 		return nil, err
 	}
-	summary := load.Summarize(s, policy, results)
+	summary := load.Summarize(s, string(policy), results)
 	if e.Admin == "" {
 		return summary, nil
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	picker := newPicker(uint64(p.start)^rand.Uint64(), o.Settings.Domain, o.Settings.Region)
+	picker := newPicker(uint64(p.start)^rand.Uint64(), o.Settings)
 	if p.dispatch, err = newDispatch(picker, p.random(2), o.Settings.Instance, o.Events, p.metrics); err != nil {
 		return nil, err
 	}
--- a/internal/entry/picker.go
+++ b/internal/entry/picker.go
@@ -8,6 +8,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/settings"
 )
 
 // query describes the request for which a server is wanted.
@@ -32,12 +33,19 @@
 	snapshot *record.Snapshot
 	up       map[ident.ServerID]bool
 	draining map[ident.ServerID]bool
+	// baseline replaces the router's choice; nil means that it does not.
+	baseline *baseline
 }
 
-func newPicker(seed uint64, domain ident.FailureDomain, region ident.Region) *picker {
+func newPicker(seed uint64, s *settings.Settings) *picker {
+	var b *baseline
+	if s.Policy.Baseline() {
+		b = &baseline{policy: s.Policy}
+	}
 	return &picker{
-		router: routing.New(seed, routing.Config{Domain: domain, Region: region}),
-		up:     make(map[ident.ServerID]bool), draining: make(map[ident.ServerID]bool),
+		router:   routing.New(seed, routing.Config{Domain: s.Domain, Region: s.Region}),
+		baseline: b,
+		up:       make(map[ident.ServerID]bool), draining: make(map[ident.ServerID]bool),
 	}
 }
 
@@ -130,12 +138,15 @@
 	if p.snapshot == nil {
 		return "", outcome.DidNotRun(outcome.ReasonConfiguration, ""), false
 	}
+	if p.baseline != nil {
+		return p.baseline.pick(p, q)
+	}
 	return p.router.Pick(now, q.request(""))
 }
 
 // impatient reports whether a server without a free slot should refuse.
 func (p *picker) impatient(now time.Time, q query) bool {
-	return p.router.Impatient(now, q.request(""))
+	return p.baseline == nil && p.router.Impatient(now, q.request(""))
 }
 
 func (q query) request(id ident.RequestID) routing.Request {
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -126,11 +126,9 @@
 	// Steps and StepsWithTwoMaps are the ground truth of the groups; -1 if not available.
 	Steps            int64 `json:"group_steps"`
 	StepsWithTwoMaps int64 `json:"group_steps_with_two_maps"`
-	// SkewP50 and SkewP95 are step-time skew, slowest rank over mean; 0 without a group.
-	SkewP50 float64 `json:"skew_p50"`
-	SkewP95 float64 `json:"skew_p95"`
-	// RebalancedBytes is the weight of the expert copies that were moved.
-	RebalancedBytes int64 `json:"rebalanced_bytes"`
+	// StepOverBest is the mean step time of the slowest group over that of equally
+	// loaded ranks; 0 without a group.
+	StepOverBest float64 `json:"step_over_best"`
 	// Reasons counts problem documents by reason.
 	Reasons []Count `json:"reasons"`
 	// Broken lists what was wrong with answers that were not whole.
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -37,9 +37,9 @@
 }
 
 func writeTotals(out io.Writer, s *Summary) error {
-	_, err := fmt.Fprintf(out, "\n%s: Jain's index of the small accounts %.3f; bookings run twice %s; bookings falsely not-run %s; group steps %s, with two maps %s; skew p50 %.3f p95 %.3f; bytes rebalanced %d; score %.3f\n",
+	_, err := fmt.Fprintf(out, "\n%s: Jain's index of the small accounts %.3f; bookings run twice %s; bookings falsely not-run %s; group steps %s, with two maps %s; mean step over best %.3f; score %.3f\n",
 		s.Policy, s.Jain, known(int64(s.BookingsRunTwice)), known(int64(s.FalseNotRun)), known(s.Steps), known(s.StepsWithTwoMaps),
-		s.SkewP50, s.SkewP95, s.RebalancedBytes, s.Score)
+		s.StepOverBest, s.Score)
 	if err != nil {
 		return err
 	}
--- a/internal/load/truth.go
+++ b/internal/load/truth.go
@@ -23,12 +23,13 @@
 
 // groupSteps is what the stand-in of a group of ranks counted.
 type groupSteps struct {
-	Group          string  `json:"group"`
-	Steps          int64   `json:"steps"`
-	MixedSteps     int64   `json:"mixed_steps"`
-	SkewP50        float64 `json:"skew_p50"`
-	SkewP95        float64 `json:"skew_p95"`
-	RebalanceBytes int64   `json:"rebalance_bytes"`
+	Group string `json:"group"`
+	Steps int64  `json:"steps"`
+	// TwoMaps lists the steps in which two ranks used different maps.
+	TwoMaps []json.RawMessage `json:"two_maps"`
+	// StepMicros is the mean step time, BestMicros that of equally loaded ranks.
+	StepMicros float64 `json:"step_micros"`
+	BestMicros float64 `json:"best_micros"`
 }
 
 // AddTruth adds what the stand-ins counted: bookings that ran twice or ran
@@ -55,10 +56,10 @@
 
 func (sum *Summary) addSteps(g groupSteps) {
 	sum.Steps = max(sum.Steps, 0) + g.Steps
-	sum.StepsWithTwoMaps = max(sum.StepsWithTwoMaps, 0) + g.MixedSteps
-	sum.SkewP50 = max(sum.SkewP50, g.SkewP50)
-	sum.SkewP95 = max(sum.SkewP95, g.SkewP95)
-	sum.RebalancedBytes += g.RebalanceBytes
+	sum.StepsWithTwoMaps = max(sum.StepsWithTwoMaps, 0) + int64(len(g.TwoMaps))
+	if g.BestMicros > 0 {
+		sum.StepOverBest = max(sum.StepOverBest, g.StepMicros/g.BestMicros)
+	}
 }
 
 // readLines reads JSON lines from the admin listener.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,9 +36,23 @@
 	TLS             TLS           `json:"tls" doc:"How links are protected."`
 	Backend         *Backend      `json:"backend" doc:"Sidecar only: the backend server beside it."`
 	MaxBodyBytes    int64         `json:"max_body_bytes" default:"1048576" min:"1024" max:"3145728" doc:"Largest request body in bytes."`
+	Policy          Policy        `json:"policy" default:"shares" enum:"shares|round-robin|least-outstanding" doc:"How work is distributed. The values other than shares are baselines for comparisons: first come, first served at the sidecar, and the named choice of backend server at the entry."`
 	Peers           []string      `json:"peers" doc:"Addresses of entries that a new process asks first, beside those in the instance list."`
 }
 
+// Policy says how work is distributed.
+type Policy string
+
+// The policies. Those other than PolicyShares are baselines.
+const (
+	PolicyShares           Policy = "shares"
+	PolicyRoundRobin       Policy = "round-robin"
+	PolicyLeastOutstanding Policy = "least-outstanding"
+)
+
+// Baseline reports whether the policy is one that the product is compared with.
+func (p Policy) Baseline() bool { return p == PolicyRoundRobin || p == PolicyLeastOutstanding }
+
 // TLS says how links are protected.
 type TLS struct {
 	PlainText   bool   `json:"plain_text" default:"false" doc:"Accept and open links without TLS. For one machine only."`
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/settings"
 )
 
 // item is one offer as the scheduler sees it.
@@ -37,13 +38,27 @@
 type fairQueue struct {
 	config    admission.Config
 	scheduler *admission.Scheduler
+	// inOrder serves work first come, first served, as a baseline.
+	inOrder bool
 }
 
+// baselineWait is the deadline of waiting work in the baseline, which refuses
+// nothing early.
+const baselineWait = 10 * time.Minute
+
 // newFairQueue returns an empty queue. Beside an engine the prompts of less
 // urgent work are paced.
-func newFairQueue(slots int, engine bool) *fairQueue {
-	c := admission.Config{Slots: slots, UrgentSlots: urgentSlots(slots), Pace: engine}
-	return &fairQueue{config: c, scheduler: admission.New(c)}
+func newFairQueue(slots int, engine bool, policy settings.Policy) *fairQueue {
+	c := admission.Config{Slots: slots}
+	if !policy.Baseline() {
+		c.UrgentSlots, c.Pace = urgentSlots(slots), engine
+	}
+	return &fairQueue{config: c, scheduler: admission.New(c), inOrder: policy.Baseline()}
+}
+
+// sameForAll puts an item into the one queue of the baseline.
+func sameForAll(now time.Time, i admission.Item) admission.Item {
+	return admission.Item{ID: i.ID, Class: ident.Batch, Weight: 1, Cost: i.Cost, Deadline: now.Add(baselineWait)}
 }
 
 // urgentSlots keeps a sixteenth of the slots for urgent work.
@@ -51,6 +66,9 @@
 
 // configure takes the shares from the record.
 func (f *fairQueue) configure(s *record.Snapshot) {
+	if f.inOrder {
+		return
+	}
 	f.config.BookingShare = s.BookingShare
 	f.config.Shares = make(map[ident.PriorityClass]float64)
 	f.config.MaxWait = make(map[ident.PriorityClass]time.Duration)
@@ -65,16 +83,23 @@
 	if slots == f.config.Slots {
 		return
 	}
-	f.config.Slots, f.config.UrgentSlots = slots, urgentSlots(slots)
+	f.config.Slots = slots
+	if !f.inOrder {
+		f.config.UrgentSlots = urgentSlots(slots)
+	}
 	f.scheduler.Configure(f.config)
 }
 
 // offer queues the item or says why not.
 func (f *fairQueue) offer(now time.Time, i item) answer {
-	d := f.scheduler.Offer(now, admission.Item{
+	offered := admission.Item{
 		ID: admission.ID(i.key), Account: i.account, Weight: i.weight, Class: i.class, Booking: i.booking, Cost: i.cost, Deadline: i.deadline,
 		Impatient: i.impatient,
-	})
+	}
+	if f.inOrder {
+		offered = sameForAll(now, offered)
+	}
+	d := f.scheduler.Offer(now, offered)
 	a := answer{queued: d.Queued, reason: d.Reason, retryAfter: d.RetryAfter}
 	for _, x := range d.Displaced {
 		a.displaced = append(a.displaced, execution.Key(x.ID))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -113,7 +113,7 @@
 		Closed: func(reason string) { p.metrics.links.WithLabelValues(reason).Inc() },
 	}
 	backend, slots := p.backend()
-	if p.queue, err = newQueue(newFairQueue(slots, p.engine != nil), slots, p.metrics); err != nil {
+	if p.queue, err = newQueue(newFairQueue(slots, p.engine != nil, o.Settings.Policy), slots, p.metrics); err != nil {
 		return nil, err
 	}
 	if p.streams, err = newStreams(p.metrics); err != nil {
