status: show what a process believes now

Cause: operators on call need the record in force, members, queues and groups of one process without reading its log.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -135,6 +135,8 @@
 		c.beat()
 	case askDirectory:
 		m.reply <- c.directory
+	case askStatus:
+		m.reply <- c.status()
 	case askReadiness:
 		m.reply <- c.readiness()
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -176,6 +176,8 @@
 		d.picker.configure(now, m.snapshot)
 	case stopTaking:
 		d.stopping = true
+	case askServers:
+		m.reply <- d.picker.servers()
 	case askFlights:
 		m.reply <- len(d.flights)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -223,7 +223,9 @@
 		return link.Accept(ctx, p.config)
 	})
 	p.listener("operations listener", l.operations, func(context.Context) http.Handler {
-		return operations.Handler(p.metrics.registry, p.readiness)
+		router := operations.Handler(p.metrics.registry, p.readiness)
+		operations.AddStatus(router, s.OperatorKeyHash, p.status)
+		return router
 	})
 	p.watchPlatform()
 	return nil
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -176,6 +176,9 @@
 // Entries returns the entries that are believed alive, this one included.
 func (p *Peering) Entries() []ident.InstanceID { return p.node.Members().Entries() }
 
+// Beliefs returns the state of every known peer.
+func (p *Peering) Beliefs() map[ident.InstanceID]string { return p.node.Members().Beliefs() }
+
 // Digest returns the digest of the record in force.
 func (p *Peering) Digest() message.Digest { return p.node.Digest() }
 
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -159,6 +159,8 @@
 	case stopProcess:
 		c.life.Fire(now, "stop")
 		c.beat(ctx, now)
+	case askStatus:
+		m.reply <- c.status()
 	case askReadiness:
 		m.reply <- c.readiness()
 	case askDigest:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -240,7 +240,9 @@
 		return operations.Serve(ctx, link.Listener(links, p.certificates), link.Accept(ctx, p.config))
 	})
 	p.group.Go("operations listener", func(ctx context.Context) error {
-		return operations.Serve(ctx, ops, operations.Handler(p.metrics.registry, p.readiness))
+		router := operations.Handler(p.metrics.registry, p.readiness)
+		operations.AddStatus(router, p.options.Settings.OperatorKeyHash, p.status)
+		return operations.Serve(ctx, ops, router)
 	})
 	p.serveGroup()
 	p.watchPlatform()
