--- /dev/null
+++ b/internal/lifecycle/lifecycle.go
@@ -0,0 +1,60 @@
+// Package lifecycle runs the control task of an entry or a sidecar from the
+// start of the process to its end.
+package lifecycle
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+// Process is what the end of a process needs.
+type Process struct {
+	Group *task.Group
+	// Kill ends the process at once, without draining, when it is closed.
+	Kill <-chan struct{}
+	// Control is the control task. It returns once the process has drained.
+	Control func(ctx context.Context) error
+	// Stop asks the control task to drain.
+	Stop func()
+	// Farewell, if set, is called after draining.
+	Farewell func()
+	// Linger is the time after draining in which last answers are written.
+	Linger time.Duration
+}
+
+// Wait runs the control task until the context ends and the process has drained,
+// or until it is killed or a task panics.
+func (p Process) Wait(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, p.Stop)
+	defer stop()
+	done := make(chan struct{})
+	p.Group.Go("control", func(ctx context.Context) error {
+		defer close(done)
+		return p.Control(ctx)
+	})
+	select {
+	case <-p.Kill:
+		return errors.WithMessage(p.Group.Stop(0), "killed")
+	case <-p.Group.Context().Done():
+		return p.Group.Stop(0)
+	case <-done:
+	}
+	if p.Farewell != nil {
+		p.Farewell()
+	}
+	p.linger()
+	return p.Group.Stop(0)
+}
+
+func (p Process) linger() {
+	timer := time.NewTimer(p.Linger)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.Kill:
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,13 +10,13 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/anvilpoint/anvilpoint/internal/codec"
 	"github.com/anvilpoint/anvilpoint/internal/engine"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/lifecycle"
 	"github.com/anvilpoint/anvilpoint/internal/link"
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/network"
@@ -278,28 +278,11 @@
 
 // wait runs the control task until the process is stopped or killed.
 func (p *process) wait(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() {
-		p.control.mailbox.Send(p.group.Context(), stopProcess{})
-	})
-	defer stop()
-	done := make(chan struct{})
-	p.group.Go("control", func(ctx context.Context) error {
-		defer close(done)
-		return p.control.run(ctx)
-	})
-	select {
-	case <-p.options.Kill:
-		return errors.WithMessage(p.group.Stop(0), "killed")
-	case <-p.group.Context().Done():
-		return p.group.Stop(0)
-	case <-done:
-	}
-	p.streams.mailbox.Send(p.group.Context(), breakOff{reason: outcome.ReasonDraining})
-	timer := time.NewTimer(farewell)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-p.options.Kill:
-	}
-	return p.group.Stop(0)
+	return lifecycle.Process{
+		Group: p.group, Kill: p.options.Kill, Control: p.control.run, Linger: farewell,
+		Stop: func() { p.control.mailbox.Send(p.group.Context(), stopProcess{}) },
+		Farewell: func() {
+			p.streams.mailbox.Send(p.group.Context(), breakOff{reason: outcome.ReasonDraining})
+		},
+	}.Wait(ctx)
 }
