--- a/internal/decide/routing/budget.go
+++ b/internal/decide/routing/budget.go
@@ -5,8 +5,9 @@
 const retryShare = 0.1
 
 // maxRetries bounds the retries that an entry saves up, and is what it starts
-// with, so that the first failures after a start can be retried.
-const maxRetries = 10.0
+// with. It covers the requests that one entry has at one backend server, so that
+// the loss of one server loses none of them.
+const maxRetries = 64.0
 
 // RetryBudget limits the retries of one entry.
 type RetryBudget struct{ spent float64 }
