names: use terms of the field for waiting and draining

Cause: 'impatient', 'patience' and 'farewell' need explaining. Change: no-wait requests, credit wait, exchange and load timeouts, Drained.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -32,9 +32,9 @@
 	Booking bool
 	// Cost is the estimate in tokens. Less than 1 counts as 1.
 	Cost int64
-	// Impatient work is refused unless it can be run at once, because another
+	// NoWait work is refused unless it can be run at once, because another
 	// backend server may have a free slot.
-	Impatient bool
+	NoWait bool
 	// Deadline is the time after which an answer is worth nothing.
 	Deadline time.Time
 }
--- a/internal/decide/admission/estimate.go
+++ b/internal/decide/admission/estimate.go
@@ -73,7 +73,7 @@
 	wait := s.wait(now, w)
 	l := s.lanes[w.lane]
 	switch {
-	case w.item.Impatient && (l.items > 0 || !s.slotFor(w.lane)):
+	case w.item.NoWait && (l.items > 0 || !s.slotFor(w.lane)):
 		return outcome.ReasonBusy, 0
 	case now.Add(wait).After(w.item.Deadline):
 		return s.overReason(w, outcome.ReasonDeadline), clampRetry(now.Add(wait).Sub(w.item.Deadline))
--- a/internal/decide/expertmap/charts.go
+++ b/internal/decide/expertmap/charts.go
@@ -64,7 +64,7 @@
 			"releaseOld":   (*Rank).releaseOld,
 			"adoptMap":     (*Rank).adoptMap,
 		},
-		Delays: delays{"doubt": func(r *Rank) time.Duration { return r.config.Patience }},
+		Delays: delays{"doubt": func(r *Rank) time.Duration { return r.config.ExchangeTimeout }},
 	}
 }
 
@@ -93,11 +93,11 @@
 			"commitSwitch":    (*Rank).commitSwitch,
 		},
 		Delays: delays{
-			"takeover":     (*Rank).takeoverDelay,
-			"beat":         (*Rank).beatDelay,
-			"retry":        func(r *Rank) time.Duration { return r.config.Retry },
-			"patience":     func(r *Rank) time.Duration { return r.config.Patience },
-			"loadPatience": func(r *Rank) time.Duration { return r.config.LoadPatience },
+			"takeover":        (*Rank).takeoverDelay,
+			"beat":            (*Rank).beatDelay,
+			"retry":           func(r *Rank) time.Duration { return r.config.Retry },
+			"exchangeTimeout": func(r *Rank) time.Duration { return r.config.ExchangeTimeout },
+			"loadTimeout":     func(r *Rank) time.Duration { return r.config.LoadTimeout },
 		},
 	}
 }
--- a/internal/decide/expertmap/figures_test.go
+++ b/internal/decide/expertmap/figures_test.go
@@ -71,7 +71,7 @@
 		w.nodes = append(w.nodes, expertmap.New(w.now, expertmap.Config{Rank: rank, Ranks: n, Incarnation: ident.Incarnation(r + 1),
 			Initial: balance.Initial(layers, experts, balance.Slots(n, experts, spare)), ChecksFencing: true,
 			Beat: max(time.Second, size*50*time.Millisecond), Retry: max(200*time.Millisecond, size*4*time.Millisecond),
-			Patience: max(time.Second, size*10*time.Millisecond), LoadPatience: 30 * time.Second,
+			ExchangeTimeout: max(time.Second, size*10*time.Millisecond), LoadTimeout: 30 * time.Second,
 			Takeover: max(3*time.Second, size*150*time.Millisecond), Margin: 3}))
 		w.after(0, func() { w.step(rank, w.engines.State(rank)) })
 	}
--- a/internal/decide/expertmap/rank.go
+++ b/internal/decide/expertmap/rank.go
@@ -33,9 +33,9 @@
 	Beat time.Duration
 	// Retry is the interval at which unanswered messages are sent again.
 	Retry time.Duration
-	// Patience bounds one exchange of messages, LoadPatience the loading of a map.
-	Patience     time.Duration
-	LoadPatience time.Duration
+	// ExchangeTimeout bounds one exchange of messages, LoadTimeout the loading of a map.
+	ExchangeTimeout time.Duration
+	LoadTimeout     time.Duration
 	// Takeover is how long rank 1 waits for a leader; rank n waits n times as long,
 	// up to eight times. Rank 0 leads at once.
 	Takeover time.Duration
--- a/internal/decide/expertmap/world_test.go
+++ b/internal/decide/expertmap/world_test.go
@@ -82,7 +82,7 @@
 	}
 	w.nodes[r] = expertmap.New(w.now, expertmap.Config{Rank: r, Ranks: w.n, Incarnation: w.started, Initial: initialMap(w.n),
 		ChecksFencing: w.fencing, Settle: wait, Beat: 200 * time.Millisecond, Retry: 50 * time.Millisecond,
-		Patience: 300 * time.Millisecond, LoadPatience: time.Second, Takeover: 500 * time.Millisecond, Margin: w.margin})
+		ExchangeTimeout: 300 * time.Millisecond, LoadTimeout: time.Second, Takeover: 500 * time.Millisecond, Margin: w.margin})
 	w.step(r, w.engines.State(r))
 }
 
--- a/internal/decide/routing/patience.go
+++ b/internal/decide/routing/nowait.go
@@ -7,30 +7,30 @@
 )
 
 const (
-	// impatientTries is how many replicas an urgent request may find without a
+	// noWaitTries is how many replicas an urgent request may find without a
 	// free slot before it queues.
-	impatientTries = 2
-	// busyLimit is the share of impatient requests found no free slot above which
+	noWaitTries = 2
+	// busyLimit is the share of no-wait requests found no free slot above which
 	// requests queue at once: then slots are scarce everywhere, and work that is
 	// sent on would only lose its place to less urgent work.
 	busyLimit = 0.5
 	// busyGain is the weight of one answer in that share.
 	busyGain = 0.05
-	// probeShare of the requests stay impatient, to notice when slots are free.
+	// probeShare of the requests stay without waiting, to notice when slots are free.
 	probeShare = 0.05
 )
 
-// Answered says how a replica answered an impatient request: whether it had a
+// Answered says how a replica answered a no-wait request: whether it had a
 // free slot.
 type Answered struct{ Busy bool }
 
 func (Answered) routing() {}
 
-// Impatient reports whether a request should be refused by a replica without a
+// NoWait reports whether a request should be refused by a replica without a
 // free slot, so that another replica gets it. Only urgent requests are, and only
 // if there is another replica.
-func (r *Router) Impatient(now time.Time, q Request) bool {
-	if r.config.Baseline != "" || q.Class != ident.Interactive || len(q.Tried) >= impatientTries {
+func (r *Router) NoWait(now time.Time, q Request) bool {
+	if r.config.Baseline != "" || q.Class != ident.Interactive || len(q.Tried) >= noWaitTries {
 		return false
 	}
 	if len(r.usable(now, q)) < 2 {
--- a/internal/decide/routing/router.go
+++ b/internal/decide/routing/router.go
@@ -17,7 +17,7 @@
 	hints    hints
 	random   *rand.Rand
 	turn     int
-	// busy is the recent share of impatient requests that found no free slot.
+	// busy is the recent share of no-wait requests that found no free slot.
 	busy float64
 }
 
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -94,7 +94,7 @@
 	prefix := xxhash.Sum64(c.Messages[:min(len(c.Messages), prefixBytes)])
 	q := query{
 		model: c.Model, account: a.ID, class: class.Name, prefix: prefix, cost: cost, prompt: prompt,
-		prefixTokens: min(prompt, prefixBytes/bytesPerToken), patience: class.FirstTokenTarget / patiencePart,
+		prefixTokens: min(prompt, prefixBytes/bytesPerToken), creditWait: class.FirstTokenTarget / creditWaitPart,
 	}
 	return submission{
 		offer: message.Offer{Account: a.ID, Weight: a.Weight, Class: class.Name, Cost: cost, Prefix: prefix, Body: body},
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -254,7 +254,7 @@
 		return
 	}
 	d.release(f)
-	f.impatient = d.picker.impatient(now, q)
+	f.noWait = d.picker.noWait(now, q)
 	d.advance(now, f, request.Picked{Server: picked})
 }
 
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -69,8 +69,8 @@
 	credited int64
 	// heldSince is when the request began to wait for credit, zero if it does not.
 	heldSince time.Time
-	// impatient says that the current attempt is refused by a busy server.
-	impatient bool
+	// noWait says that the current attempt is refused by a busy server.
+	noWait bool
 	// offered is when the current attempt was offered; answered says that it has
 	// begun to answer.
 	offered  time.Time
@@ -123,6 +123,6 @@
 	offer.Request, offer.Attempt = f.id, f.wire.attempt
 	offer.RemainingMS = max(a.Remaining.Milliseconds(), 0)
 	offer.Resume = f.receiver.Delivered()
-	offer.Impatient = f.impatient
+	offer.NoWait = f.noWait
 	return &offer
 }
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -162,9 +162,9 @@
 	}
 }
 
-// hadSlot tells the picker what became of an impatient attempt.
+// hadSlot tells the picker what became of a no-wait attempt.
 func (d *dispatch) hadSlot(now time.Time, f *flight, free bool) {
-	if f.impatient {
+	if f.noWait {
 		d.picker.answered(now, !free)
 	}
 }
--- a/internal/entry/hold.go
+++ b/internal/entry/hold.go
@@ -13,11 +13,11 @@
 	// entry for credit. They look for a server every 25 ms, and a greedy account
 	// must not make the entry busy with looking.
 	holdLimit = 16
-	// patiencePart is the part of the first-token target, as a divisor, that a
+	// creditWaitPart is the part of the first-token target, as a divisor, that a
 	// request may wait for credit. Longer, and it would be late when it is served.
-	patiencePart = 8
-	// leastPatience leaves time for three looks.
-	leastPatience = 75 * time.Millisecond
+	creditWaitPart = 8
+	// minCreditWait leaves time for three looks.
+	minCreditWait = 75 * time.Millisecond
 )
 
 // holdKey counts waiting requests.
@@ -51,7 +51,7 @@
 		d.held[key]++
 		f.heldSince = now
 	}
-	return now.Sub(f.heldSince) < max(f.query.patience, leastPatience)
+	return now.Sub(f.heldSince) < max(f.query.creditWait, minCreditWait)
 }
 
 // release ends the wait of a request that got a server or ended.
--- a/internal/entry/picker.go
+++ b/internal/entry/picker.go
@@ -22,9 +22,9 @@
 	// prompt and prefixTokens are estimates in tokens.
 	prompt       int64
 	prefixTokens int64
-	// patience is how long the request may wait at the entry for credit.
-	patience time.Duration
-	excluded []ident.ServerID
+	// creditWait is how long the request may wait at the entry for credit.
+	creditWait time.Duration
+	excluded   []ident.ServerID
 }
 
 // picker chooses backend servers by package routing. The dispatch task owns it.
@@ -128,7 +128,7 @@
 	p.router.Step(now, routing.Ended{Server: server, Request: id, Failed: failed})
 }
 
-// answered says whether a server had a free slot for an impatient request.
+// answered says whether a server had a free slot for a no-wait request.
 func (p *picker) answered(now time.Time, busy bool) {
 	p.router.Step(now, routing.Answered{Busy: busy})
 }
@@ -144,9 +144,9 @@
 	return p.router.Pick(now, q.request(""))
 }
 
-// impatient reports whether a server without a free slot should refuse.
-func (p *picker) impatient(now time.Time, q query) bool {
-	return p.baseline == nil && p.router.Impatient(now, q.request(""))
+// noWait reports whether a server without a free slot should refuse.
+func (p *picker) noWait(now time.Time, q query) bool {
+	return p.baseline == nil && p.router.NoWait(now, q.request(""))
 }
 
 func (q query) request(id ident.RequestID) routing.Request {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -72,7 +72,7 @@
 			Account: a.ID, Weight: a.Weight, Class: class.Name, Cost: serviceCost,
 			Service: wanted.Name, Method: r.Method, Path: path, Header: service.PassedOn(r.Header), Body: body,
 		},
-		query:   query{service: wanted.Name, account: a.ID, class: class.Name, cost: serviceCost, patience: class.FirstTokenTarget / patiencePart},
+		query:   query{service: wanted.Name, account: a.ID, class: class.Name, cost: serviceCost, creditWait: class.FirstTokenTarget / creditWaitPart},
 		plan:    request.Plan{Deadline: deadlineOf(class), Repeatable: repeatable},
 		collect: true,
 	}
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -20,8 +20,8 @@
 	Control func(ctx context.Context) error
 	// Stop asks the control task to drain.
 	Stop func()
-	// Farewell, if set, is called after draining.
-	Farewell func()
+	// Drained, if set, is called after draining.
+	Drained func()
 	// Linger is the time after draining in which last answers are written.
 	Linger time.Duration
 }
@@ -43,8 +43,8 @@
 		return p.Group.Stop(0)
 	case <-done:
 	}
-	if p.Farewell != nil {
-		p.Farewell()
+	if p.Drained != nil {
+		p.Drained()
 	}
 	p.linger()
 	return p.Group.Stop(0)
--- a/internal/load/policybench/engine.go
+++ b/internal/load/policybench/engine.go
@@ -24,7 +24,7 @@
 	refused         bool
 	hit             bool
 	waiting         bool
-	impatient       bool
+	noWait          bool
 }
 
 // cost is the cost in tokens that admission counts.
--- a/internal/load/policybench/flow.go
+++ b/internal/load/policybench/flow.go
@@ -37,7 +37,7 @@
 		return
 	}
 	r.letGo(q)
-	q.impatient = !r.policy.FCFS && !q.load.Booking && router.Impatient(r.now, query)
+	q.noWait = !r.policy.FCFS && !q.load.Booking && router.NoWait(r.now, query)
 	router.Step(r.now, routing.Started{Server: id, Request: query})
 	r.after(hop, func() { r.arrive(r.byID[id], q) })
 }
@@ -70,7 +70,7 @@
 	r.controlBytes += answerBytes
 	d := s.queue.Offer(r.now, admission.Item{
 		ID: q.id, Account: q.load.Account, Weight: q.load.Weight, Class: q.load.Class, Booking: q.load.Booking,
-		Impatient: q.impatient, Cost: q.cost(), Deadline: q.arrived.Add(q.load.Deadline),
+		NoWait: q.noWait, Cost: q.cost(), Deadline: q.arrived.Add(q.load.Deadline),
 	})
 	for _, x := range d.Displaced {
 		r.refuse(s, r.byItem[x.ID], false)
@@ -79,7 +79,7 @@
 		r.refuse(s, q, d.Reason == outcome.ReasonBusy)
 		return
 	}
-	if q.impatient {
+	if q.noWait {
 		r.after(hop, func() { r.routers[q.entry].Step(r.now, routing.Answered{}) })
 	}
 	r.fill(s)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -152,8 +152,8 @@
 	Path    string
 	Header  [][2]string
 	Body    []byte
-	// Impatient work is refused unless it can be run at once.
-	Impatient bool
+	// NoWait work is refused unless it can be run at once.
+	NoWait bool
 }
 
 // Withdraw takes an attempt back that has not started.
--- a/internal/sidecar/group.go
+++ b/internal/sidecar/group.go
@@ -177,8 +177,8 @@
 	c := expertmap.Config{
 		Rank: m.rank, Ranks: len(m.group.Ranks), Incarnation: ident.NewIncarnation(now), Initial: initial, ChecksFencing: m.checks,
 		Beat:  max(time.Second, n*50*time.Millisecond),
-		Retry: max(200*time.Millisecond, n*4*time.Millisecond), Patience: max(time.Second, n*10*time.Millisecond),
-		LoadPatience: 30 * time.Second, Takeover: max(3*time.Second, n*150*time.Millisecond), Margin: switchMargin,
+		Retry: max(200*time.Millisecond, n*4*time.Millisecond), ExchangeTimeout: max(time.Second, n*10*time.Millisecond),
+		LoadTimeout: 30 * time.Second, Takeover: max(3*time.Second, n*150*time.Millisecond), Margin: switchMargin,
 	}
 	if !m.checks {
 		c.Settle = settleTime
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -180,7 +180,7 @@
 		return
 	}
 	answer := q.scheduler.offer(now, item{
-		key: key, account: m.Account, weight: m.Weight, class: m.Class, cost: m.Cost, deadline: deadline, impatient: m.Impatient,
+		key: key, account: m.Account, weight: m.Weight, class: m.Class, cost: m.Cost, deadline: deadline, noWait: m.NoWait,
 	})
 	if !answer.queued {
 		q.refuse(now, o, key, answer.reason, answer.retryAfter)
--- a/internal/sidecar/scheduler.go
+++ b/internal/sidecar/scheduler.go
@@ -20,8 +20,8 @@
 	booking  bool
 	cost     int64
 	deadline time.Time
-	// impatient work is refused unless it can run at once.
-	impatient bool
+	// noWait work is refused unless it can run at once.
+	noWait bool
 }
 
 // answer is the scheduler's answer to an offer.
@@ -94,7 +94,7 @@
 func (f *fairQueue) offer(now time.Time, i item) answer {
 	offered := admission.Item{
 		ID: admission.ID(i.key), Account: i.account, Weight: i.weight, Class: i.class, Booking: i.booking, Cost: i.cost, Deadline: i.deadline,
-		Impatient: i.impatient,
+		NoWait: i.noWait,
 	}
 	if f.inOrder {
 		offered = sameForAll(now, offered)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,9 +34,9 @@
 	firstSlots = 1
 	// serviceSlots is the number of calls that run at once at a plain service.
 	serviceSlots = 64
-	// farewell is the time in which frames that are already queued, such as the
+	// lastFrames is the time in which frames that are already queued, such as the
 	// ends of streams, still leave after the work is done.
-	farewell = 300 * time.Millisecond
+	lastFrames = 300 * time.Millisecond
 )
 
 // Options are what a sidecar needs of the process around it.
@@ -279,9 +279,9 @@
 // wait runs the control task until the process is stopped or killed.
 func (p *process) wait(ctx context.Context) error {
 	return lifecycle.Process{
-		Group: p.group, Kill: p.options.Kill, Control: p.control.run, Linger: farewell,
+		Group: p.group, Kill: p.options.Kill, Control: p.control.run, Linger: lastFrames,
 		Stop: func() { p.control.mailbox.Send(p.group.Context(), stopProcess{}) },
-		Farewell: func() {
+		Drained: func() {
 			p.streams.mailbox.Send(p.group.Context(), breakOff{reason: outcome.ReasonDraining})
 		},
 	}.Wait(ctx)
