--- a/internal/link/read.go
+++ b/internal/link/read.go
@@ -61,7 +61,7 @@
 func (r *runner) admit(ctx context.Context, now time.Time, m message.Message) bool {
 	switch typed := m.(type) {
 	case *message.Hello:
-		return r.greet(ctx, now, *typed)
+		return r.receiveHello(ctx, now, *typed)
 	case *message.Heartbeat:
 		r.beat.Echo = typed.Sequence
 	}
@@ -72,7 +72,7 @@
 	return true
 }
 
-func (r *runner) greet(ctx context.Context, now time.Time, hello message.Hello) bool {
+func (r *runner) receiveHello(ctx context.Context, now time.Time, hello message.Hello) bool {
 	if r.life.In("open") {
 		r.close(reasonTurn, errors.New("second Hello"))
 		return false
--- a/internal/load/controlbench/link.go
+++ b/internal/load/controlbench/link.go
@@ -45,13 +45,13 @@
 		l.heard[0], l.heard[1] = w.Now, w.Now
 		p.links[to.ID], to.links[p.ID] = l, l
 		for side := range l.ends {
-			l.greet(side)
+			l.sendHello(side)
 			l.pulse(side)
 		}
 	})
 }
 
-func (l *link) greet(side int) {
+func (l *link) sendHello(side int) {
 	from, to := l.ends[side], l.ends[1-side]
 	hello := message.Hello{
 		Version: message.ProtocolVersion, Role: from.Role, Instance: from.ID, Server: from.Server,
