source: rename the readers of the configuration service and the instance list

The name platform is needed for the adapter to the users' platform. The readers are the product's own interface and get a name for what they are: the sources of records and instances. No behaviour changes.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -16,8 +16,8 @@
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/operations"
 	"github.com/anvilpoint/anvilpoint/internal/peering"
-	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/source"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
@@ -31,8 +31,8 @@
 
 type (
 	linkEvent    struct{ event link.Event }
-	configRead   struct{ answer platform.ReadAnswer }
-	listValue    struct{ list platform.List }
+	configRead   struct{ answer source.ReadAnswer }
+	listValue    struct{ list source.List }
 	stopProcess  struct{}
 	askDirectory struct{ reply chan<- *directory }
 	askReadiness struct {
@@ -177,7 +177,7 @@
 	}
 }
 
-func (c *control) list(ctx context.Context, now time.Time, l platform.List) {
+func (c *control) list(ctx context.Context, now time.Time, l source.List) {
 	if l.Err != nil {
 		c.logger.Debug().Err(l.Err).Msg("instance list")
 		return
@@ -189,7 +189,7 @@
 			continue
 		}
 		event := "return"
-		if i.State == platform.Leaving {
+		if i.State == source.Leaving {
 			event = "leave"
 		}
 		if _, changed := c.life.Fire(now, event); changed {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,8 +23,8 @@
 	"github.com/anvilpoint/anvilpoint/internal/network"
 	"github.com/anvilpoint/anvilpoint/internal/operations"
 	"github.com/anvilpoint/anvilpoint/internal/peering"
-	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/settings"
+	"github.com/anvilpoint/anvilpoint/internal/source"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
@@ -53,7 +53,7 @@
 	dispatch *dispatch
 	bookings *bookings
 	control  *control
-	reader   *platform.Reader
+	reader   *source.Reader
 	start    ident.Incarnation
 	// certificates is nil for plain text.
 	certificates *link.Certificates
@@ -146,7 +146,7 @@
 
 func (p *process) assemblePeering(now time.Time) {
 	s := p.options.Settings
-	p.reader = platform.NewReader(s.ConfigService, platform.Client(p.options.Network), func(ctx context.Context, a platform.ReadAnswer) {
+	p.reader = source.NewReader(s.ConfigService, source.Client(p.options.Network), func(ctx context.Context, a source.ReadAnswer) {
 		p.control.mailbox.Send(ctx, configRead{answer: a})
 	})
 	p.control.seeds = slices.DeleteFunc(slices.Clone(s.Peers), func(address string) bool { return address == s.LinkListen })
@@ -238,8 +238,8 @@
 func (p *process) watchPlatform() {
 	s := p.options.Settings
 	p.group.Go("configuration reads", p.reader.Run)
-	list := &platform.ListPoll{URL: s.InstanceList, Client: platform.Client(p.options.Network), Random: p.random(5),
-		Deliver: func(ctx context.Context, l platform.List) { p.control.mailbox.Send(ctx, listValue{list: l}) }}
+	list := &source.ListPoll{URL: s.InstanceList, Client: source.Client(p.options.Network), Random: p.random(5),
+		Deliver: func(ctx context.Context, l source.List) { p.control.mailbox.Send(ctx, listValue{list: l}) }}
 	p.group.Go("instance list", list.Run)
 }
 
--- a/internal/pathtest/store.go
+++ b/internal/pathtest/store.go
@@ -8,7 +8,7 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/message"
-	"github.com/anvilpoint/anvilpoint/internal/platform"
+	"github.com/anvilpoint/anvilpoint/internal/source"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
@@ -84,10 +84,10 @@
 
 // instanceList shows the sidecars of all backends as live.
 func instanceList(backends []Backend, addresses []string) http.HandlerFunc {
-	var list []platform.Instance
+	var list []source.Instance
 	for n, b := range backends {
-		list = append(list, platform.Instance{
-			Name: ident.InstanceID(b.Server), Kind: string(message.RoleSidecar), Domain: "d", Address: addresses[n], State: platform.Live,
+		list = append(list, source.Instance{
+			Name: ident.InstanceID(b.Server), Kind: string(message.RoleSidecar), Domain: "d", Address: addresses[n], State: source.Live,
 		})
 	}
 	return func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(list) }
--- a/internal/peering/carry.go
+++ b/internal/peering/carry.go
@@ -8,7 +8,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/message"
-	"github.com/anvilpoint/anvilpoint/internal/platform"
+	"github.com/anvilpoint/anvilpoint/internal/source"
 )
 
 // Name formats a digest for people: the revision and the hash.
@@ -28,9 +28,9 @@
 		p.ready = true
 		p.config.Ready()
 	case control.Read:
-		p.config.Reader.Request(ctx, platform.ReadRequest{Number: o.Number, After: o.After, Wait: o.Wait})
+		p.config.Reader.Request(ctx, source.ReadRequest{Number: o.Number, After: o.After, Wait: o.Wait})
 	case control.CancelRead:
-		p.config.Reader.Request(ctx, platform.ReadRequest{Cancel: true})
+		p.config.Reader.Request(ctx, source.ReadRequest{Cancel: true})
 	case control.PeerChanged:
 		p.changed(o)
 	case control.ReadBack:
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -18,8 +18,8 @@
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/link"
 	"github.com/anvilpoint/anvilpoint/internal/message"
-	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/source"
 )
 
 // Config describes the process.
@@ -37,7 +37,7 @@
 	Events      *eventlog.Log
 	Metrics     *Metrics
 	// Reader reads the configuration service.
-	Reader *platform.Reader
+	Reader *source.Reader
 	// InForce, Ready, ReadBack and Order are called by the owning task.
 	InForce  func(ctx context.Context, s *record.Snapshot)
 	Ready    func()
@@ -141,7 +141,7 @@
 }
 
 // Read takes the end of a read of the configuration service.
-func (p *Peering) Read(ctx context.Context, now time.Time, a platform.ReadAnswer) {
+func (p *Peering) Read(ctx context.Context, now time.Time, a source.ReadAnswer) {
 	switch {
 	case a.Value.Err != nil:
 		p.config.Metrics.reads.WithLabelValues("failed").Inc()
@@ -157,10 +157,10 @@
 }
 
 // Instances takes one read of the instance list. Only entries matter here.
-func (p *Peering) Instances(ctx context.Context, now time.Time, list []platform.Instance) {
+func (p *Peering) Instances(ctx context.Context, now time.Time, list []source.Instance) {
 	var members []message.Member
 	for _, i := range list {
-		if i.Kind == string(message.RoleEntry) && i.State == platform.Live {
+		if i.Kind == string(message.RoleEntry) && i.State == source.Live {
 			members = append(members, message.Member{Instance: i.Name, Role: message.RoleEntry, Domain: i.Domain, Address: i.Address})
 		}
 	}
--- a/internal/sidecar/booking_links.go
+++ b/internal/sidecar/booking_links.go
@@ -6,8 +6,8 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/link"
 	"github.com/anvilpoint/anvilpoint/internal/message"
-	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/service"
+	"github.com/anvilpoint/anvilpoint/internal/source"
 )
 
 // assembleBookings makes the bookings task and its links to other sidecars.
@@ -26,7 +26,7 @@
 	b.queue, b.events, b.metrics = p.queue.mailbox, p.options.Events, p.metrics
 	p.bookings = b
 	p.queue.bookings = &bookingCaller{
-		group: p.group, service: service.New(s.Backend.URL, platform.Client(p.options.Network)),
+		group: p.group, service: service.New(s.Backend.URL, source.Client(p.options.Network)),
 		bookings: b.mailbox, queue: p.queue.mailbox,
 	}
 }
--- a/internal/sidecar/bookings.go
+++ b/internal/sidecar/bookings.go
@@ -11,8 +11,8 @@
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/link"
 	"github.com/anvilpoint/anvilpoint/internal/message"
-	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/source"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
@@ -33,7 +33,7 @@
 	// bookingLink says that a link is up or down.
 	bookingLink   struct{ event link.Event }
 	bookingRecord struct{ snapshot *record.Snapshot }
-	bookingList   struct{ list platform.List }
+	bookingList   struct{ list source.List }
 	bookingDrain  struct{ on bool }
 	// bookingEnded ends a call to the service.
 	bookingEnded struct {
@@ -239,7 +239,7 @@
 
 // list passes on a read of the instance list. A list that does not show this
 // process is too old to draw conclusions from.
-func (b *bookings) list(ctx context.Context, now time.Time, l platform.List) {
+func (b *bookings) list(ctx context.Context, now time.Time, l source.List) {
 	if l.Err != nil || b.snapshot == nil {
 		return
 	}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -17,8 +17,8 @@
 	"github.com/anvilpoint/anvilpoint/internal/operations"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 	"github.com/anvilpoint/anvilpoint/internal/peering"
-	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/source"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
@@ -36,8 +36,8 @@
 
 type (
 	linkEvent  struct{ event link.Event }
-	listValue  struct{ list platform.List }
-	configRead struct{ answer platform.ReadAnswer }
+	listValue  struct{ list source.List }
+	configRead struct{ answer source.ReadAnswer }
 	engineLoad struct {
 		load engine.Load
 		err  error
@@ -224,14 +224,14 @@
 	}
 }
 
-func (c *control) list(ctx context.Context, now time.Time, l platform.List) {
+func (c *control) list(ctx context.Context, now time.Time, l source.List) {
 	if l.Err != nil {
 		c.logger.Debug().Err(l.Err).Msg("instance list")
 		return
 	}
 	for _, i := range l.Instances {
 		if i.Name == c.instance {
-			c.leavingList = i.State == platform.Leaving
+			c.leavingList = i.State == source.Leaving
 		}
 	}
 	c.peering.Instances(ctx, now, l.Instances)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -23,9 +23,9 @@
 	"github.com/anvilpoint/anvilpoint/internal/operations"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 	"github.com/anvilpoint/anvilpoint/internal/peering"
-	"github.com/anvilpoint/anvilpoint/internal/platform"
 	"github.com/anvilpoint/anvilpoint/internal/service"
 	"github.com/anvilpoint/anvilpoint/internal/settings"
+	"github.com/anvilpoint/anvilpoint/internal/source"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
@@ -60,7 +60,7 @@
 	queue   *queue
 	streams *streams
 	control *control
-	reader  *platform.Reader
+	reader  *source.Reader
 	// bookings is nil beside an engine.
 	bookings *bookings
 	engine   *engine.Engine
@@ -146,7 +146,7 @@
 // linked to a sidecar push the record to it.
 func (p *process) assemblePeering(now time.Time) {
 	s, c := p.options.Settings, p.control
-	p.reader = platform.NewReader(s.ConfigService, platform.Client(p.options.Network), func(ctx context.Context, a platform.ReadAnswer) {
+	p.reader = source.NewReader(s.ConfigService, source.Client(p.options.Network), func(ctx context.Context, a source.ReadAnswer) {
 		c.mailbox.Send(ctx, configRead{answer: a})
 	})
 	config := peering.Config{
@@ -167,7 +167,7 @@
 }
 
 func (p *process) backend() (backend, int) {
-	client := platform.Client(p.options.Network)
+	client := source.Client(p.options.Network)
 	b := p.options.Settings.Backend
 	if b.Kind == "service" {
 		return serviceBackend{service: service.New(b.URL, client)}, serviceSlots
@@ -251,10 +251,10 @@
 
 func (p *process) watchPlatform() {
 	s := p.options.Settings
-	client := platform.Client(p.options.Network)
+	client := source.Client(p.options.Network)
 	seed := uint64(p.start)
-	list := &platform.ListPoll{URL: s.InstanceList, Client: client, Random: rand.New(rand.NewPCG(seed, 2)),
-		Deliver: func(ctx context.Context, l platform.List) { p.control.mailbox.Send(ctx, listValue{list: l}) }}
+	list := &source.ListPoll{URL: s.InstanceList, Client: client, Random: rand.New(rand.NewPCG(seed, 2)),
+		Deliver: func(ctx context.Context, l source.List) { p.control.mailbox.Send(ctx, listValue{list: l}) }}
 	p.group.Go("instance list", list.Run)
 	p.group.Go("configuration reads", p.reader.Run)
 	if p.engine == nil {
--- a/internal/platform/config.go
+++ b/internal/source/config.go
@@ -1,6 +1,6 @@
-// Package platform reads the platform's configuration service and instance
+// Package source reads the platform's configuration service and instance
 // list. Its tasks hand what they read on by messages; nothing is written.
-package platform
+package source
 
 import (
 	"context"
--- a/internal/platform/reader.go
+++ b/internal/source/reader.go
@@ -1,4 +1,4 @@
-package platform
+package source
 
 import (
 	"context"
