--- /dev/null
+++ b/internal/decide/intake/intake.go
@@ -0,0 +1,310 @@
+// Package intake decides which requests an entry takes for a service whose
+// backend servers it calls itself, and which backend server gets each.
+//
+// The ranks of an expert-parallel group run in lock-step, so the time between
+// two events of any stream is the time of one pass of the whole group. An entry
+// learns that time from its own streams, and bounds the requests in the group
+// so that a pass stays within the routes' gap target. The bound is divided by
+// urgency: the more urgent a request, the more of the bound it may fill.
+package intake
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/chart"
+	"github.com/anvilpoint/anvilpoint/internal/charts"
+	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+)
+
+const (
+	// peerMemory is how long the counts of another entry hold. Entries tell their
+	// counts several times a second; after a second without news the other entry
+	// is likely gone, and its requests with it.
+	peerMemory = time.Second
+	// firstPause and longestPause bound how long a failing server gets no work.
+	firstPause   = time.Second
+	longestPause = 8 * time.Second
+	// slowCalls is how many slow calls in the reduced state stop all work.
+	slowCalls = 5
+	// reducedLoad is added to the load of a server that failed lately.
+	reducedLoad = 3.0
+	// farLoad is added to the load of a server in another failure domain. It only
+	// decides between servers that are loaded alike.
+	farLoad = 0.4
+	// plainQueue is how many requests per slot a plain service may hold. Its
+	// servers queue a few requests beyond their slots.
+	plainQueue = 2
+)
+
+// Config is what an entry's intake for one service knows beforehand.
+type Config struct {
+	Domain ident.FailureDomain
+	Engine *record.EngineModel
+}
+
+// Service decides for one service. One task owns it.
+type Service struct {
+	config  Config
+	machine *chart.Machine[*server]
+	servers map[ident.ServerID]*server
+	order   []*server
+	peers   map[ident.InstanceID]peerCounts
+	pace    pace
+	random  *rand.Rand
+}
+
+// server is a backend server as this entry sees it.
+type server struct {
+	registry.Server
+	life    *chart.Instance[*server]
+	pause   time.Duration
+	slow    int
+	running int
+}
+
+type peerCounts struct {
+	at      time.Time
+	running map[ident.ServerID]int
+}
+
+// New returns the intake of a service without servers.
+func New(c Config, random *rand.Rand) *Service {
+	s := &Service{
+		config: c, random: random, servers: make(map[ident.ServerID]*server),
+		peers: make(map[ident.InstanceID]peerCounts), pace: newPace(c.Engine),
+	}
+	s.machine = chart.MustBind(charts.Must("replica"), chart.Binding[*server]{
+		Guards: map[string]func(*server) bool{
+			"slowOften": func(b *server) bool { return b.slow+1 >= slowCalls },
+		},
+		Actions: map[string]func(*server){
+			"countSlow": func(b *server) { b.slow++ },
+			"lengthen":  func(b *server) { b.slow, b.pause = 0, min(max(firstPause, 2*b.pause), longestPause) },
+			"forgive":   func(b *server) { b.slow, b.pause = 0, 0 },
+		},
+		Delays: map[string]func(*server) time.Duration{
+			"pause": func(b *server) time.Duration { return max(firstPause, b.pause) },
+		},
+	})
+	return s
+}
+
+// Configure takes a changed description of the service's engines.
+func (s *Service) Configure(e *record.EngineModel) {
+	if e == nil || s.config.Engine != nil && *e == *s.config.Engine {
+		return
+	}
+	s.config.Engine = e
+	s.pace = newPace(e)
+}
+
+// SetServers replaces the servers of the service. What is known about servers
+// that stay is kept; a new start under an old id is a new server.
+func (s *Service) SetServers(now time.Time, list []registry.Server) {
+	kept := make(map[ident.ServerID]*server, len(list))
+	s.order = s.order[:0]
+	for _, one := range list {
+		b := s.servers[one.ID]
+		if b == nil || !b.Started.Equal(one.Started) {
+			b = &server{Server: one}
+			b.life = s.machine.New(now, b)
+		}
+		b.Server = one
+		switch {
+		case one.Leaving:
+			b.life.Fire(now, "drain")
+		case b.life.In("draining"):
+			b.life.Fire(now, "undrain")
+		}
+		kept[one.ID] = b
+		s.order = append(s.order, b)
+	}
+	s.servers = kept
+}
+
+// Leave stops work for a server that says itself that it leaves, or whose
+// address belongs to another server now.
+func (s *Service) Leave(now time.Time, id ident.ServerID) {
+	if b := s.servers[id]; b != nil {
+		b.life.Fire(now, "drain")
+	}
+}
+
+// Heard takes what another entry has at the servers of the service.
+func (s *Service) Heard(now time.Time, from ident.InstanceID, running map[ident.ServerID]int) {
+	s.peers[from] = peerCounts{at: now, running: running}
+}
+
+// Running returns what this entry has at each server.
+func (s *Service) Running() map[ident.ServerID]int {
+	running := make(map[ident.ServerID]int)
+	for id, b := range s.servers {
+		if b.running > 0 {
+			running[id] = b.running
+		}
+	}
+	return running
+}
+
+// load is the number of requests at the server, of all entries.
+func (s *Service) load(now time.Time, b *server) int {
+	sum := b.running
+	for _, p := range s.peers {
+		if now.Sub(p.at) <= peerMemory {
+			sum += p.running[b.ID]
+		}
+	}
+	return sum
+}
+
+// State is what a decision to take or refuse a request was made from.
+type State struct {
+	// Running is the number of requests of all entries, Limit the bound for the
+	// request's urgency, and Usable the number of servers that take work.
+	Running int
+	Limit   int
+	Usable  int
+	// Gap is the estimated time of one pass.
+	Gap time.Duration
+}
+
+// Admit reports whether a request of the priority may go to the service now.
+func (s *Service) Admit(now time.Time, priority int, gapTarget time.Duration) (State, bool) {
+	state := State{Gap: s.pace.gap()}
+	slots := 0
+	for _, b := range s.order {
+		b.life.Tick(now)
+		state.Running += s.load(now, b)
+		if b.usable() {
+			state.Usable++
+			slots += max(b.Slots, 1)
+		}
+	}
+	if state.Usable == 0 {
+		return state, false
+	}
+	if s.config.Engine == nil {
+		state.Limit = plainQueue * slots
+		return state, state.Running < state.Limit
+	}
+	bound := float64(state.Usable) * s.pace.perServer(gapTarget)
+	state.Limit = int(bound * urgencyShare(priority))
+	return state, state.Running < state.Limit
+}
+
+// urgencyShare is the part of the bound that requests of a priority may fill. The
+// steps are small, since a class must not be served much less often than a less
+// urgent one, but need not be starved by a more urgent one either.
+func urgencyShare(priority int) float64 {
+	switch {
+	case priority <= 0:
+		return 1
+	case priority == 1:
+		return 0.92
+	default:
+		return 0.84
+	}
+}
+
+// Pick chooses the server with the least work among those not yet tried.
+func (s *Service) Pick(now time.Time, tried []ident.ServerID) (registry.Server, bool) {
+	var best *server
+	lowest, ties := 0.0, 0
+	for _, doubtful := range []bool{false, true} {
+		for _, b := range s.order {
+			b.life.Tick(now)
+			if contains(tried, b.ID) || !b.takes(doubtful) {
+				continue
+			}
+			score := s.score(now, b)
+			switch {
+			case best == nil || score < lowest:
+				best, lowest, ties = b, score, 1
+			case score == lowest:
+				ties++
+				if s.random.IntN(ties) == 0 {
+					best = b
+				}
+			}
+		}
+		if best != nil {
+			return best.Server, true
+		}
+	}
+	return registry.Server{}, false
+}
+
+func contains(list []ident.ServerID, id ident.ServerID) bool {
+	for _, one := range list {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether the server may get work. A trial is one request at a time.
+func (b *server) usable() bool {
+	if !b.life.In("eligible") || b.life.In("avoided") {
+		return false
+	}
+	return !b.life.In("trial") || b.running == 0
+}
+
+// takes is the same as usable, or, as a last resort, lets a server that failed
+// lately take work: the fault may lie elsewhere.
+func (b *server) takes(doubtful bool) bool {
+	if doubtful {
+		return b.life.In("eligible")
+	}
+	return b.usable()
+}
+
+func (s *Service) score(now time.Time, b *server) float64 {
+	score := float64(s.load(now, b))
+	if b.Domain != s.config.Domain {
+		score += farLoad
+	}
+	if b.life.In("reduced") {
+		score += reducedLoad
+	}
+	return score
+}
+
+// Started counts a request that is sent to the server.
+func (s *Service) Started(id ident.ServerID) {
+	if b := s.servers[id]; b != nil {
+		b.running++
+	}
+}
+
+// Ended counts the end of a request at the server. Failed means that the server
+// broke off or could not be reached.
+func (s *Service) Ended(now time.Time, id ident.ServerID, failed bool) {
+	b := s.servers[id]
+	if b == nil {
+		return
+	}
+	b.running = max(b.running-1, 0)
+	switch {
+	case failed:
+		b.life.Fire(now, "failed")
+	case b.life.In("trial"):
+		b.life.Fire(now, "recovered")
+	}
+}
+
+// Paced takes the mean gap between events that a stream of this entry has seen.
+func (s *Service) Paced(now time.Time, gap time.Duration) {
+	if s.config.Engine == nil || len(s.order) == 0 {
+		return
+	}
+	running := 0
+	for _, b := range s.order {
+		running += s.load(now, b)
+	}
+	s.pace.observe(gap, float64(running)/float64(len(s.order)))
+}
--- a/internal/decide/request/life.go
+++ b/internal/decide/request/life.go
@@ -26,6 +26,8 @@
 	attemptLimit = 2 * time.Minute
 	// again is the pause before another look for a server.
 	again = 25 * time.Millisecond
+	// noLimit stands for the absence of a limit on the whole answer.
+	noLimit = 24 * time.Hour
 	// resumeLimit is how long a started answer waits for a server to go on.
 	resumeLimit = 20 * time.Second
 )
@@ -39,6 +41,11 @@
 	Repeatable bool
 	// MaxRefusals bounds how many servers are asked; 0 is the default.
 	MaxRefusals int
+	// Limit is the time until the whole answer; 0 means that there is none.
+	Limit time.Duration
+	// MaxAttempts bounds the servers that the request is sent to; 0 leaves it to
+	// the other bounds.
+	MaxAttempts int
 }
 
 // attempt is one try.
@@ -91,6 +98,7 @@
 			"deadline":    func(l *Life) time.Duration { return l.plan.Deadline },
 			"again":       func(*Life) time.Duration { return again },
 			"resumeLimit": func(*Life) time.Duration { return resumeLimit },
+			"limit":       func(l *Life) time.Duration { return l.plan.Limit },
 		},
 		Observe: observe,
 	})
@@ -102,6 +110,9 @@
 	if plan.MaxRefusals == 0 {
 		plan.MaxRefusals = maxRefusals
 	}
+	if plan.Limit == 0 {
+		plan.Limit = noLimit
+	}
 	l := &Life{machines: m, plan: plan, deadline: now.Add(plan.Deadline), last: outcome.ReasonNoServer}
 	l.life = m.request.New(now, l)
 	l.choose()
@@ -146,6 +157,20 @@
 	return true
 }
 
+// Sent returns how many attempts were written to a server.
+func (l *Life) Sent() int {
+	sent := 0
+	for _, a := range l.attempts {
+		if !a.life.In("unwritten") {
+			sent++
+		}
+	}
+	return sent
+}
+
+// spent reports whether no further attempt is allowed.
+func (l *Life) spent() bool { return l.plan.MaxAttempts > 0 && l.Sent() >= l.plan.MaxAttempts }
+
 // current returns the outstanding attempt, or nil.
 func (l *Life) current() *attempt {
 	if len(l.attempts) == 0 {
--- a/internal/decide/request/step.go
+++ b/internal/decide/request/step.go
@@ -53,7 +53,9 @@
 		return nil
 	}
 	l.life.Tick(now)
-	if l.life.In("expiring") || l.life.Done() {
+	if l.life.Done() && l.plan.Limit != noLimit {
+		l.last = outcome.ReasonDeadline
+	} else if l.life.In("expiring") || l.life.Done() {
 		l.last = l.expiryReason()
 	}
 	if a := l.current(); a != nil && l.life.In("expiring") {
@@ -181,6 +183,10 @@
 
 // retry looks for another server unless the deadline has passed meanwhile.
 func (l *Life) retry(now time.Time) {
+	if l.spent() {
+		l.life.Fire(now, "end")
+		return
+	}
 	l.life.Fire(now, "retry")
 	if !l.life.Done() {
 		l.choose()
--- a/internal/decide/routing/budget.go
+++ b/internal/decide/routing/budget.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 // retryShare is how much of a retry each successful request pays for. A tenth
 // keeps retries from multiplying the load when many servers fail at once.
 const retryShare = 0.1
@@ -23,3 +25,65 @@
 	b.spent++
 	return true
 }
+
+// WindowConfig bounds the retries of one entry within a sliding window.
+type WindowConfig struct {
+	// Ratio is the number of retries for each request, and Slack the number beyond
+	// it, in any window of the length.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// budgetCells is how many parts the window is counted in.
+const budgetCells = 10
+
+// WindowBudget counts requests and retries over a sliding window.
+type WindowBudget struct {
+	config WindowConfig
+	// origin is when counting began. Cells are numbered from it, since the time of
+	// day may jump.
+	origin time.Time
+	cells  [budgetCells]budgetCell
+}
+
+type budgetCell struct {
+	number   int64
+	requests float64
+	retries  float64
+}
+
+// NewWindowBudget returns a budget that has seen nothing yet.
+func NewWindowBudget(c WindowConfig) *WindowBudget { return &WindowBudget{config: c} }
+
+func (b *WindowBudget) cell(now time.Time) *budgetCell {
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	number := int64(now.Sub(b.origin)/(b.config.Window/budgetCells)) + 1
+	c := &b.cells[number%budgetCells]
+	if c.number != number {
+		*c = budgetCell{number: number}
+	}
+	return c
+}
+
+// Request counts a client's request.
+func (b *WindowBudget) Request(now time.Time) { b.cell(now).requests++ }
+
+// Take reports whether a retry may be sent, and counts it.
+func (b *WindowBudget) Take(now time.Time) bool {
+	c := b.cell(now)
+	requests, retries := 0.0, 0.0
+	for _, one := range b.cells {
+		if c.number-one.number < budgetCells {
+			requests += one.requests
+			retries += one.retries
+		}
+	}
+	if retries+1 > b.config.Ratio*requests+b.config.Slack {
+		return false
+	}
+	c.retries++
+	return true
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"time"
@@ -57,6 +58,8 @@
 	stamp hlc.Stamp
 	event Event
 	log   *Log
+	// line is a finished log line, which takes the place of an event.
+	line []byte
 }
 
 // Writer is the task that owns the output.
@@ -79,6 +82,18 @@
 	return &Log{process: process, incarnation: incarnation, clock: clock, mailbox: w.mailbox}
 }
 
+// Lines returns an output for log lines that shares the writer's output. It never
+// blocks: a line is dropped if the writer falls behind.
+func (w *Writer) Lines() io.Writer { return lines{mailbox: w.mailbox} }
+
+type lines struct{ mailbox *task.Mailbox[stamped] }
+
+// Write implements io.Writer.
+func (l lines) Write(line []byte) (int, error) {
+	l.mailbox.Send(context.Background(), stamped{line: bytes.Clone(line)})
+	return len(line), nil
+}
+
 // Clock returns the clock that stamps the events of this process.
 func (l *Log) Clock() *hlc.Clock { return l.clock }
 
@@ -95,7 +110,7 @@
 // Run writes events until the context ends, then writes what waits.
 func (w *Writer) Run(ctx context.Context) error {
 	buffer := bufio.NewWriter(w.out)
-	logger := zerolog.New(buffer)
+	logger := output{buffer: buffer, logger: zerolog.New(buffer)}
 	flush := time.NewTicker(flushInterval)
 	defer flush.Stop()
 	for {
@@ -113,7 +128,7 @@
 	}
 }
 
-func (w *Writer) drain(logger zerolog.Logger) {
+func (w *Writer) drain(logger output) {
 	for {
 		select {
 		case s := <-w.mailbox.Receive():
@@ -124,9 +139,20 @@
 	}
 }
 
-func write(logger zerolog.Logger, s stamped) {
+// output is where the writer puts events and log lines.
+type output struct {
+	buffer *bufio.Writer
+	logger zerolog.Logger
+}
+
+func write(o output, s stamped) {
+	if s.line != nil {
+		// A failed write shows at the next flush.
+		_, _ = o.buffer.Write(s.line)
+		return
+	}
 	e := s.event
-	line := logger.Log().
+	line := o.logger.Log().
 		Str("t", s.stamp.Wall().UTC().Format(time.RFC3339Nano)).
 		Stringer("hlc", s.stamp).
 		Str("process", s.log.process).
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,306 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/intake"
+	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
+	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+const (
+	dispatchCapacity = 1024
+	// comeBack is when a refused client may try again. A place in a group becomes
+	// free every few milliseconds, and a try within the objective is not late yet.
+	comeBack = 150 * time.Millisecond
+	// comeBackSpread spreads the clients that are refused together.
+	comeBackSpread = 150 * time.Millisecond
+)
+
+// dispatchMessage is a message to the dispatch task.
+type dispatchMessage interface{ isDispatchMessage() }
+
+type (
+	// admit asks whether a request may go on, and to which service.
+	admit struct {
+		host, path string
+		key        record.KeyHash
+		hasKey     bool
+		reply      chan<- admission
+	}
+	// choose asks for a backend server for one attempt.
+	choose struct {
+		service ident.ServiceName
+		tried   []ident.ServerID
+		// again says that the request was sent to a server before.
+		again bool
+		reply chan<- choice
+	}
+	// settle says that an attempt is over.
+	settle struct {
+		service ident.ServiceName
+		server  ident.ServerID
+		failed  bool
+		// elsewhere says that another server has the address.
+		elsewhere bool
+	}
+	// paced reports the gap between events of a stream.
+	paced struct {
+		service ident.ServiceName
+		gap     time.Duration
+	}
+	setRoutes  struct{ routes *record.Routes }
+	setServers struct{ servers []registry.Server }
+	heardWork  struct {
+		from ident.InstanceID
+		work *message.Work
+	}
+	// askWork asks what this entry has at each server.
+	askWork struct {
+		reply chan<- []message.ServerWork
+	}
+)
+
+func (admit) isDispatchMessage()      {}
+func (choose) isDispatchMessage()     {}
+func (settle) isDispatchMessage()     {}
+func (paced) isDispatchMessage()      {}
+func (setRoutes) isDispatchMessage()  {}
+func (setServers) isDispatchMessage() {}
+func (heardWork) isDispatchMessage()  {}
+func (askWork) isDispatchMessage()    {}
+
+// admission answers admit. A zero status admits the request.
+type admission struct {
+	status     int
+	outcome    outcome.Outcome
+	retryAfter time.Duration
+	route      *record.Route
+	service    ident.ServiceName
+	account    ident.ClientAccount
+	priority   int
+	version    ident.Revision
+	state      intake.State
+}
+
+// choice answers choose.
+type choice struct {
+	server registry.Server
+	ok     bool
+	reason outcome.Reason
+}
+
+// dispatch is the task that owns what the choice of backend servers depends on.
+type dispatch struct {
+	mailbox  *task.Mailbox[dispatchMessage]
+	domain   ident.FailureDomain
+	random   *rand.Rand
+	routes   *record.Routes
+	servers  []registry.Server
+	services map[ident.ServiceName]*intake.Service
+	budgets  map[ident.ServiceName]*routing.WindowBudget
+	budget   routing.WindowConfig
+	metrics  *metrics
+}
+
+func newDispatch(domain ident.FailureDomain, random *rand.Rand, budget routing.WindowConfig, m *metrics) *dispatch {
+	return &dispatch{
+		mailbox: task.NewMailbox[dispatchMessage](dispatchCapacity, task.Block),
+		domain:  domain, random: random, budget: budget, metrics: m,
+		services: make(map[ident.ServiceName]*intake.Service),
+		budgets:  make(map[ident.ServiceName]*routing.WindowBudget),
+	}
+}
+
+// run is the task.
+func (d *dispatch) run(ctx context.Context) error {
+	defer d.mailbox.Close()
+	for {
+		select {
+		case m := <-d.mailbox.Receive():
+			d.step(time.Now(), m)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (d *dispatch) step(now time.Time, m dispatchMessage) {
+	switch m := m.(type) {
+	case admit:
+		m.reply <- d.admit(now, m)
+	case choose:
+		m.reply <- d.choose(now, m)
+	case settle:
+		d.settle(now, m)
+	case paced:
+		d.service(m.service).Paced(now, m.gap)
+	case setRoutes:
+		d.setRoutes(now, m.routes)
+	case setServers:
+		d.setServers(now, m.servers)
+	case heardWork:
+		d.heard(now, m)
+	case askWork:
+		m.reply <- d.work()
+	}
+}
+
+func (d *dispatch) admit(now time.Time, m admit) admission {
+	if d.routes == nil {
+		return refusal(http.StatusServiceUnavailable, outcome.ReasonConfiguration, comeBack)
+	}
+	a := admission{version: d.routes.Version()}
+	route, ok := d.routes.Match(m.host, m.path)
+	if !ok {
+		a.status, a.outcome = http.StatusNotFound, outcome.DidNotRun(outcome.ReasonNotFound, "no route")
+		return a
+	}
+	a.route, a.priority = route, route.Priority
+	if !d.identify(m, &a) {
+		a.status, a.outcome = http.StatusUnauthorized, outcome.DidNotRun(outcome.ReasonUnauthenticated, "the key is not known")
+		return a
+	}
+	a.service = d.split(route)
+	service := d.service(a.service)
+	d.budgetOf(a.service).Request(now)
+	a.state, ok = service.Admit(now, a.priority, route.GapTarget)
+	if ok {
+		return a
+	}
+	a.status, a.outcome = http.StatusServiceUnavailable, outcome.DidNotRun(outcome.ReasonQueueFull, "the service has no free place")
+	if a.state.Usable == 0 {
+		a.outcome = outcome.DidNotRun(outcome.ReasonNoServer, "no backend server takes work")
+	}
+	a.retryAfter = d.wait()
+	return a
+}
+
+func refusal(status int, reason outcome.Reason, wait time.Duration) admission {
+	return admission{status: status, outcome: outcome.DidNotRun(reason, ""), retryAfter: wait}
+}
+
+func (d *dispatch) wait() time.Duration {
+	return comeBack + time.Duration(d.random.Int64N(int64(comeBackSpread)))
+}
+
+// identify finds the account of the key. An anonymous route needs none.
+func (d *dispatch) identify(m admit, a *admission) bool {
+	if m.hasKey {
+		if account, known := d.routes.Account(m.key); known {
+			a.account = account.ID
+			if account.Priority != record.NoPriority {
+				a.priority = account.Priority
+			}
+			return true
+		}
+	}
+	return a.route.Anonymous || !d.routes.RequiresKey()
+}
+
+// split draws one of the route's services by weight.
+func (d *dispatch) split(route *record.Route) ident.ServiceName {
+	sum := 0.0
+	for _, s := range route.Split {
+		sum += s.Weight
+	}
+	at := d.random.Float64() * sum
+	for _, s := range route.Split {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return route.Split[0].Service
+}
+
+func (d *dispatch) service(name ident.ServiceName) *intake.Service {
+	s := d.services[name]
+	if s == nil {
+		var engine *record.EngineModel
+		if d.routes != nil {
+			engine = d.routes.Services()[name].Engine
+		}
+		s = intake.New(intake.Config{Domain: d.domain, Engine: engine}, d.random)
+		d.services[name] = s
+	}
+	return s
+}
+
+func (d *dispatch) budgetOf(name ident.ServiceName) *routing.WindowBudget {
+	b := d.budgets[name]
+	if b == nil {
+		b = routing.NewWindowBudget(d.budget)
+		d.budgets[name] = b
+	}
+	return b
+}
+
+func (d *dispatch) choose(now time.Time, m choose) choice {
+	if m.again && !d.budgetOf(m.service).Take(now) {
+		return choice{reason: outcome.ReasonRetryBudget}
+	}
+	server, ok := d.service(m.service).Pick(now, m.tried)
+	if !ok {
+		return choice{reason: outcome.ReasonNoServer}
+	}
+	d.service(m.service).Started(server.ID)
+	return choice{server: server, ok: true}
+}
+
+func (d *dispatch) settle(now time.Time, m settle) {
+	s := d.service(m.service)
+	s.Ended(now, m.server, m.failed)
+	if m.elsewhere {
+		s.Leave(now, m.server)
+	}
+}
+
+func (d *dispatch) setRoutes(now time.Time, r *record.Routes) {
+	d.routes = r
+	for name, s := range r.Services() {
+		d.service(name).Configure(s.Engine)
+	}
+	d.metrics.version.Set(float64(r.Version()))
+}
+
+func (d *dispatch) setServers(now time.Time, servers []registry.Server) {
+	d.servers = servers
+	byService := make(map[ident.ServiceName][]registry.Server)
+	for _, s := range servers {
+		byService[s.Service] = append(byService[s.Service], s)
+	}
+	for name := range byService {
+		d.service(name)
+	}
+	for name, s := range d.services {
+		s.SetServers(now, byService[name])
+	}
+}
+
+func (d *dispatch) heard(now time.Time, m heardWork) {
+	byServer := make(map[ident.ServerID]int, len(m.work.Servers))
+	for _, w := range m.work.Servers {
+		byServer[w.Server] = w.Running
+	}
+	for _, s := range d.services {
+		s.Heard(now, m.from, byServer)
+	}
+}
+
+func (d *dispatch) work() []message.ServerWork {
+	var list []message.ServerWork
+	for _, s := range d.services {
+		for id, n := range s.Running() {
+			list = append(list, message.ServerWork{Server: id, Running: n})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,41 @@
+package gateway
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the counters and histograms of an entry.
+type metrics struct {
+	registry    *prometheus.Registry
+	arrived     prometheus.Counter
+	ended       *prometheus.CounterVec
+	broken      prometheus.Counter
+	opened      prometheus.Counter
+	firstOutput prometheus.Histogram
+	duration    prometheus.Histogram
+	storeReads  *prometheus.CounterVec
+	links       *prometheus.CounterVec
+	version     prometheus.Gauge
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		arrived:  prometheus.NewCounter(prometheus.CounterOpts{Name: "anvilpoint_requests_arrived_total", Help: "Requests that clients sent."}),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "anvilpoint_requests_ended_total", Help: "Requests by outcome and reason."}, []string{"outcome", "reason"}),
+		broken: prometheus.NewCounter(prometheus.CounterOpts{Name: "anvilpoint_attempts_broken_total", Help: "Attempts that a backend server broke off."}),
+		opened: prometheus.NewCounter(prometheus.CounterOpts{Name: "anvilpoint_connections_opened_total", Help: "Connections opened to backend servers."}),
+		firstOutput: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "anvilpoint_first_output_seconds", Help: "Time from a request's arrival to the first output of its stream.",
+			Buckets: prometheus.ExponentialBuckets(0.02, 2, 10)}),
+		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "anvilpoint_request_seconds", Help: "Time from a request's arrival to its end.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11)}),
+		storeReads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "anvilpoint_store_calls_total", Help: "Calls to the platform's store by result."}, []string{"result"}),
+		links: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "anvilpoint_links_closed_total", Help: "Links to other processes that closed, by reason."}, []string{"reason"}),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{Name: "anvilpoint_routes_version", Help: "Version of the routes in force."}),
+	}
+	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version)
+	return m
+}
--- a/internal/message/kinds.go
+++ b/internal/message/kinds.go
@@ -28,6 +28,11 @@
 func (*Usage) kind() Kind        { return KindUsage }
 func (*Group) kind() Kind        { return KindGroup }
 func (*Release) kind() Kind      { return KindRelease }
+func (*Work) kind() Kind         { return KindWork }
+func (*Roster) kind() Kind       { return KindRoster }
+func (*RoutesPull) kind() Kind   { return KindRoutesPull }
+func (*RoutesPush) kind() Kind   { return KindRoutesPush }
+func (*MapSwitch) kind() Kind    { return KindMapSwitch }
 
 // KindOf returns the frame type of a message.
 func KindOf(m Message) Kind { return m.kind() }
@@ -91,6 +96,16 @@
 		return new(Group)
 	case KindRelease:
 		return new(Release)
+	case KindWork:
+		return new(Work)
+	case KindRoster:
+		return new(Roster)
+	case KindRoutesPull:
+		return new(RoutesPull)
+	case KindRoutesPush:
+		return new(RoutesPush)
+	case KindMapSwitch:
+		return new(MapSwitch)
 	default:
 		return nil
 	}
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,21 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Client returns an HTTP client for reads that may be repeated, such as those of
+// the platform's store and of a model engine's state.
+func Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return Dial(ctx, address)
+		},
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}}
+}
