rank, mapswitch, placement: keep the experts of a group balanced

The processes beside the ranks agree on each change of the expert map: all prepare, all hold the engine before one pass, and only then each arms and releases its own engine. placement plans from the counts of the last moments within the limits of the engine (places, new experts a rank). Entries dial the seeds in any case; before, an entry whose address sorts after the seeds' was linked with nobody and bounded its own work only.

--- a/internal/command/hosted.go
+++ b/internal/command/hosted.go
@@ -17,6 +17,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/network"
+	"github.com/anvilpoint/anvilpoint/internal/rank"
 	"github.com/anvilpoint/anvilpoint/internal/settings"
 	"github.com/anvilpoint/anvilpoint/platform"
 	"github.com/anvilpoint/anvilpoint/task"
@@ -31,6 +32,30 @@
 	})
 }
 
+func init() {
+	register(spec{
+		name:  "rank",
+		short: "Run the process beside a rank of a group that its engines form",
+		long:  "rank keeps the experts of a group balanced together with the processes beside the other ranks. Without --settings it reads the file that the platform names.",
+		make:  func(env *environment) flags.Commander { return &rankCommand{env: env} },
+	})
+}
+
+type rankCommand struct {
+	env      *environment
+	Settings string `long:"settings" value-name:"FILE" description:"file with the settings, JSON with comments"`
+}
+
+// Execute implements flags.Commander.
+func (c *rankCommand) Execute(args []string) error {
+	if len(args) > 0 {
+		return badInputf("usage: anvilpoint rank [--settings FILE]")
+	}
+	return runHosted(c.env, message.RoleSidecar, c.Settings, func(ctx context.Context, h hosted) error {
+		return rank.Run(ctx, rank.Options{Settings: h.settings, Logger: h.logger, Events: h.events, Network: network.System{}})
+	})
+}
+
 type gatewayCommand struct {
 	env      *environment
 	Settings string `long:"settings" value-name:"FILE" description:"file with the settings, JSON with comments"`
--- /dev/null
+++ b/internal/decide/mapswitch/leader.go
@@ -0,0 +1,275 @@
+package mapswitch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/chart"
+	"github.com/anvilpoint/anvilpoint/internal/charts"
+	"github.com/anvilpoint/anvilpoint/internal/decide/placement"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/invariant"
+)
+
+const (
+	// resend is the interval at which a command is repeated to a rank that has not
+	// followed it.
+	resend = 60 * time.Millisecond
+	// beatInterval is the interval of beats while no change is under way.
+	beatInterval = 250 * time.Millisecond
+	// statusMemory is how long a status holds.
+	statusMemory = 1500 * time.Millisecond
+	// prepareLimit bounds the copies of a change, promiseLimit the time in which
+	// ranks that have promised may wait for the others.
+	prepareLimit = 4 * time.Second
+	promiseLimit = 500 * time.Millisecond
+	// stepMargin is the number of passes between the last one begun and the one at
+	// which the map changes. The promises arrive in about the time of one pass.
+	stepMargin = 2
+)
+
+// Leader leads the changes of one group. The task beside rank 0 owns it.
+type Leader struct {
+	now         time.Time
+	incarnation ident.Incarnation
+	life        *chart.Instance[*Leader]
+	group       string
+	epoch       uint64
+	size        int
+	ranks       []rankView
+	version     Version
+	step        uint64
+	content     placement.Map
+	sent        time.Time
+	actions     []Action
+}
+
+// rankView is what the leader knows of a rank.
+type rankView struct {
+	status Status
+	at     time.Time
+}
+
+var leaderMachine = chart.MustBind(charts.Must("map-leader"), chart.Binding[*Leader]{
+	Guards: map[string]func(*Leader) bool{
+		"someArmed":      func(l *Leader) bool { return l.some(committedAlready) && l.some(unfinished) },
+		"someUnfinished": func(l *Leader) bool { return l.some(unfinished) },
+	},
+	Actions: map[string]func(*Leader){
+		"adoptUnfinished": (*Leader).adoptUnfinished,
+		"chooseStep":      (*Leader).chooseStep,
+	},
+	Delays: map[string]func(*Leader) time.Duration{
+		"prepareLimit": func(*Leader) time.Duration { return prepareLimit },
+		"promiseLimit": func(*Leader) time.Duration { return promiseLimit },
+	},
+	Observe: func(l *Leader, t chart.Transition) {
+		l.sent = time.Time{}
+		if t.From != t.To {
+			l.actions = append(l.actions, Notice{Name: "map.leader-" + t.To, Version: l.version, Step: l.step, Detail: "from " + t.From + " on " + t.Event})
+		}
+	},
+})
+
+// committedAlready reports whether the status proves that a change was
+// committed: only then does a rank arm. A rank that has armed and is released
+// waits for the others.
+func committedAlready(s Status) bool { return s.Phase == Arming || s.Phase == Recovered || s.Armed }
+
+func unfinished(s Status) bool { return s.Phase != Idle }
+
+// NewLeader returns a leader that knows no rank.
+func NewLeader(now time.Time, incarnation ident.Incarnation) *Leader {
+	l := &Leader{now: now, incarnation: incarnation}
+	l.life = leaderMachine.New(now, l)
+	return l
+}
+
+// State returns the leader's state.
+func (l *Leader) State() string { return l.life.State() }
+
+// Watching reports whether a change can be started.
+func (l *Leader) Watching() bool { return l.life.In("watching") }
+
+// Statuses returns the statuses of all ranks while no change is under way.
+func (l *Leader) Statuses() []Status {
+	list := make([]Status, len(l.ranks))
+	for i, r := range l.ranks {
+		list[i] = r.status
+	}
+	return list
+}
+
+// Lead sets the formation that is led. A new one forgets all ranks.
+func (l *Leader) Lead(now time.Time, group string, epoch uint64, size int) []Action {
+	l.now = now
+	if l.group != group || l.epoch != epoch || l.size != size {
+		l.group, l.epoch, l.size = group, epoch, size
+		l.ranks = make([]rankView, size)
+		l.version, l.step, l.content = 0, 0, nil
+		l.fire("reset")
+	}
+	return l.take()
+}
+
+// Propose starts a change to the map. It is ignored unless the leader watches
+// and the last change is in use, since an armed engine prepares nothing.
+func (l *Leader) Propose(now time.Time, m placement.Map) []Action {
+	l.now = now
+	if !l.Watching() || l.some(func(s Status) bool { return s.Armed }) {
+		return l.take()
+	}
+	highest := l.version
+	for _, r := range l.ranks {
+		highest = max(highest, r.status.Highest)
+	}
+	l.version, l.step, l.content = highest+1, 0, m
+	l.fire("plan")
+	l.command()
+	return l.take()
+}
+
+// Receive takes a rank's status.
+func (l *Leader) Receive(now time.Time, s Status) []Action {
+	l.now = now
+	if s.Leader != l.incarnation || s.Group != l.group || s.Epoch != l.epoch || int(s.Rank) >= len(l.ranks) || s.Rank < 0 {
+		return l.take()
+	}
+	old := l.ranks[s.Rank].status
+	if s.Experts == nil {
+		s.Experts = old.Experts
+	}
+	if s.Counts == nil {
+		s.Counts = old.Counts
+	}
+	l.ranks[s.Rank] = rankView{status: s, at: now}
+	l.advance()
+	return l.take()
+}
+
+// Tick lets time pass.
+func (l *Leader) Tick(now time.Time) []Action {
+	l.now = now
+	l.life.Tick(now)
+	l.advance()
+	interval := resend
+	if l.life.In("watching") || l.life.In("collecting") {
+		interval = beatInterval
+	}
+	if now.Sub(l.sent) >= interval {
+		l.command()
+	}
+	return l.take()
+}
+
+func (l *Leader) take() []Action {
+	actions := l.actions
+	l.actions = nil
+	return actions
+}
+
+func (l *Leader) fire(event string) {
+	l.life.Fire(l.now, event)
+}
+
+func (l *Leader) some(holds func(Status) bool) bool {
+	return slices.ContainsFunc(l.ranks, func(r rankView) bool { return holds(r.status) })
+}
+
+func (l *Leader) all(holds func(Status) bool) bool {
+	return len(l.ranks) > 0 && !slices.ContainsFunc(l.ranks, func(r rankView) bool { return !holds(r.status) })
+}
+
+// fresh reports whether every rank's status is recent.
+func (l *Leader) fresh() bool {
+	return len(l.ranks) > 0 && !slices.ContainsFunc(l.ranks, func(r rankView) bool {
+		return r.at.IsZero() || l.now.Sub(r.at) > statusMemory
+	})
+}
+
+// advance follows what the ranks have said until nothing more changes.
+func (l *Leader) advance() {
+	for {
+		before := l.life.State()
+		l.follow()
+		if l.life.State() == before {
+			return
+		}
+		l.command()
+	}
+}
+
+func (l *Leader) follow() {
+	switch l.life.State() {
+	case "collecting":
+		if l.fresh() {
+			l.fire("complete")
+		}
+	case "watching":
+		if !l.fresh() {
+			l.fire("lost")
+		}
+	case "preparing":
+		if l.all(func(s Status) bool { return s.Version == l.version && s.Phase == Prepared }) {
+			l.fire("allPrepared")
+		}
+	case "promising":
+		switch {
+		case l.some(func(s Status) bool { return s.Version == l.version && s.Phase == Refused }):
+			l.fire("refused")
+		case l.all(func(s Status) bool { return s.Version == l.version && s.Phase == Promised && s.Step == l.step }):
+			l.fire("allPromised")
+		}
+	case "committing":
+		if l.all(func(s Status) bool { return s.Phase == Idle }) {
+			l.fire("allReleased")
+		}
+	case "aborting":
+		if l.all(func(s Status) bool { return s.Phase == Idle }) {
+			l.fire("allIdle")
+		}
+	}
+}
+
+// chooseStep picks a pass that no rank has begun.
+func (l *Leader) chooseStep() {
+	for _, r := range l.ranks {
+		l.step = max(l.step, r.status.Begun)
+	}
+	l.step += stepMargin
+}
+
+// adoptUnfinished takes up the change that a predecessor left.
+func (l *Leader) adoptUnfinished() {
+	l.version, l.step = 0, 0
+	for _, r := range l.ranks {
+		if r.status.Phase != Idle && r.status.Version >= l.version {
+			l.version, l.step = r.status.Version, max(l.step, r.status.Step)
+		}
+	}
+}
+
+// command sends the ranks what the leader's state wants of them.
+func (l *Leader) command() {
+	l.sent = l.now
+	c := Command{Verb: Beat, Leader: l.incarnation, Group: l.group, Epoch: l.epoch, Version: l.version, Step: l.step}
+	switch l.life.State() {
+	case "preparing":
+		c.Verb, c.Map = Prepare, l.content
+	case "promising":
+		c.Verb = Promise
+	case "committing":
+		c.Verb = Commit
+		invariant.Check(l.version != 0, "a commit names a version", "step %d", l.step)
+	case "aborting":
+		c.Verb = Abort
+	}
+	for i, r := range l.ranks {
+		one := c
+		if c.Verb == Prepare && r.status.Version == l.version && r.status.Phase != Idle {
+			// The rank has the map.
+			one.Verb, one.Map = Beat, nil
+		}
+		l.actions = append(l.actions, Send{To: ident.Rank(i), Command: one})
+	}
+}
--- /dev/null
+++ b/internal/decide/mapswitch/rank.go
@@ -0,0 +1,245 @@
+package mapswitch
+
+import (
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/chart"
+	"github.com/anvilpoint/anvilpoint/internal/charts"
+	"github.com/anvilpoint/anvilpoint/internal/decide/placement"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/invariant"
+)
+
+// orderLimit is how long an order may take before it is given again. An engine
+// on the same machine answers within a few milliseconds.
+const orderLimit = 80 * time.Millisecond
+
+// Rank carries out changes at one engine. One task owns it.
+type Rank struct {
+	now   time.Time
+	life  *chart.Instance[*Rank]
+	state EngineState
+	known bool
+	// leader is the incarnation that the rank follows. Session numbers the links to
+	// leaders, so that what an earlier leader sent is told apart.
+	leader  ident.Incarnation
+	session uint64
+	version Version
+	step    uint64
+	content placement.Map
+	highest Version
+	// confirmed says that the engine accepted the order to prepare.
+	confirmed bool
+	// committed says that all ranks have promised the change.
+	committed bool
+	actions   []Action
+}
+
+// rankMachine is immutable after its binding.
+var rankMachine = chart.MustBind(charts.Must("map-change"), chart.Binding[*Rank]{
+	Guards: map[string]func(*Rank) bool{
+		"unconfirmed": func(r *Rank) bool { return !r.confirmed },
+	},
+	Actions: map[string]func(*Rank){
+		"orderPrepare": func(r *Rank) { r.order(OrderPrepare) },
+		"orderHold":    func(r *Rank) { r.order(OrderHold) },
+		"orderArm":     (*Rank).orderArm,
+		"orderGo":      func(r *Rank) { r.order(OrderGo) },
+	},
+	Delays: map[string]func(*Rank) time.Duration{
+		"orderLimit": func(*Rank) time.Duration { return orderLimit },
+	},
+	Observe: func(r *Rank, t chart.Transition) {
+		if t.From != t.To {
+			r.actions = append(r.actions, Notice{Name: "map." + t.To, Version: r.version, Step: r.step, Detail: "from " + t.From + " on " + t.Event})
+		}
+	},
+})
+
+// NewRank returns a rank that knows nothing of its engine.
+func NewRank(now time.Time) *Rank {
+	r := &Rank{now: now}
+	r.life = rankMachine.New(now, r)
+	return r
+}
+
+// Phase returns the state of the change.
+func (r *Rank) Phase() Phase { return Phase(r.life.State()) }
+
+// Engine returns the last state of the engine, if one is known.
+func (r *Rank) Engine() (EngineState, bool) { return r.state, r.known }
+
+// Busy reports whether a change is under way, so that the engine's state matters now.
+func (r *Rank) Busy() bool { return !r.life.In("idle") }
+
+// Deadline returns when Tick is due.
+func (r *Rank) Deadline() (time.Time, bool) { return r.life.Deadline() }
+
+// Tick lets time pass.
+func (r *Rank) Tick(now time.Time) []Action {
+	r.now = now
+	r.life.Tick(now)
+	return r.take()
+}
+
+func (r *Rank) take() []Action {
+	actions := r.actions
+	r.actions = nil
+	return actions
+}
+
+func (r *Rank) fire(event string) bool {
+	_, ok := r.life.Fire(r.now, event)
+	return ok
+}
+
+func (r *Rank) order(kind OrderKind) {
+	o := Order{Kind: kind, Epoch: r.state.Epoch, Version: r.version, Step: r.step}
+	if kind == OrderPrepare {
+		o.Map = r.content
+	}
+	r.actions = append(r.actions, Instruct{Order: o})
+}
+
+func (r *Rank) orderArm() {
+	invariant.Check(r.committed, "only a committed map is armed", "version %d, step %d", r.version, r.step)
+	r.order(OrderArm)
+}
+
+// Observe takes the engine's report.
+func (r *Rank) Observe(now time.Time, s EngineState) []Action {
+	r.now = now
+	if r.known && (s.Epoch != r.state.Epoch || s.Group != r.state.Group || s.Rank != r.state.Rank) {
+		// A new formation starts with map 0 and nothing prepared, armed or held.
+		r.fire("reset")
+		r.highest = 0
+	}
+	first := !r.known
+	r.state, r.known = s, true
+	r.highest = max(r.highest, s.Map, s.Prepared, s.Armed)
+	if first {
+		r.recover()
+	}
+	switch r.Phase() {
+	case Preparing, Copying:
+		if s.Prepared == r.version {
+			r.fire("prepared")
+		}
+	case Holding:
+		switch {
+		case s.Held == r.step:
+			r.fire("held")
+		case s.Step >= r.step:
+			r.fire("late")
+		}
+	case Arming:
+		if s.Armed == r.version || s.Map == r.version {
+			r.fire("armed")
+		}
+	case Releasing:
+		if s.Held != r.step {
+			r.fire("released")
+		}
+	case Idle:
+		r.releaseStray()
+	}
+	return r.take()
+}
+
+// recover takes up what a predecessor of this process left at the engine.
+func (r *Rank) recover() {
+	s := r.state
+	switch {
+	case s.Armed != 0 && s.Held != 0:
+		r.version, r.step = s.Armed, s.Held
+		r.fire("foundArmed")
+	case s.Held != 0:
+		r.version, r.step = s.Prepared, s.Held
+		r.fire("foundHeld")
+	}
+}
+
+// releaseStray releases an engine that a late copy of an order has held.
+func (r *Rank) releaseStray() {
+	if r.state.Held == 0 {
+		return
+	}
+	r.step = r.state.Held
+	r.order(OrderGo)
+}
+
+// Answered takes the end of an order.
+func (r *Rank) Answered(now time.Time, o Order, result Result) []Action {
+	r.now = now
+	if o.Epoch != r.state.Epoch || result == Unanswered {
+		return r.take()
+	}
+	accepted := result == Accepted
+	switch {
+	case o.Kind == OrderPrepare && o.Version == r.version && accepted:
+		r.confirmed = true
+	case o.Kind == OrderHold && o.Step == r.step && r.Phase() == Holding:
+		if accepted {
+			r.fire("held")
+		}
+	case o.Kind == OrderArm && o.Version == r.version && accepted && r.Phase() == Arming:
+		// A new leader must learn at once that the change was committed.
+		r.state.Armed = r.version
+		r.fire("armed")
+	case o.Kind == OrderGo && o.Step == r.step && accepted && r.Phase() == Releasing:
+		r.fire("released")
+	}
+	return r.take()
+}
+
+// Receive takes a command that arrived on the link with the session number.
+func (r *Rank) Receive(now time.Time, session uint64, c Command) []Action {
+	r.now = now
+	if !r.known || c.Epoch != r.state.Epoch || c.Group != r.state.Group {
+		return r.take()
+	}
+	if c.Leader != r.leader {
+		if session < r.session {
+			return r.take()
+		}
+		r.leader = c.Leader
+	}
+	r.session = max(r.session, session)
+	r.obey(c)
+	r.actions = append(r.actions, Report{Status: r.Status()})
+	return r.take()
+}
+
+func (r *Rank) obey(c Command) {
+	switch c.Verb {
+	case Prepare:
+		if r.Phase() == Idle && c.Version > r.highest {
+			r.version, r.step, r.content, r.confirmed, r.committed = c.Version, 0, c.Map, false, false
+			r.highest = c.Version
+			r.fire("prepare")
+		}
+	case Promise:
+		if c.Version == r.version && r.Phase() == Prepared {
+			r.step = c.Step
+			r.fire("hold")
+		}
+	case Commit:
+		if c.Version == r.version && (r.Phase() == Promised || r.Phase() == Recovered) {
+			r.committed = true
+			r.fire("commit")
+		}
+	case Abort:
+		if c.Version >= r.version {
+			r.fire("abort")
+		}
+	}
+}
+
+// Status returns what the leader needs to know.
+func (r *Rank) Status() Status {
+	return Status{
+		Leader: r.leader, Group: r.state.Group, Epoch: r.state.Epoch, Rank: r.state.Rank, Phase: r.Phase(),
+		Version: r.version, Step: r.step, Begun: r.state.Step, Map: r.state.Map, Highest: r.highest,
+		Armed: r.state.Armed != 0,
+	}
+}
--- /dev/null
+++ b/internal/decide/placement/placement_test.go
@@ -0,0 +1,98 @@
+package placement_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/placement"
+)
+
+// inTurn is the first map of a group: experts are dealt to the ranks in turn.
+func inTurn(layers, ranks, experts int) placement.Map {
+	m := make(placement.Map, layers)
+	for l := range m {
+		m[l] = make([][]int, ranks)
+		for e := range experts {
+			m[l][e%ranks] = append(m[l][e%ranks], e)
+		}
+	}
+	return m
+}
+
+func zipf(random *rand.Rand, layers, experts int, exponent float64) [][]float64 {
+	work := make([][]float64, layers)
+	for l := range work {
+		work[l] = make([]float64, experts)
+		for i, e := range random.Perm(experts) {
+			work[l][e] = 1 / math.Pow(float64(i+1), exponent)
+		}
+	}
+	return work
+}
+
+// Guards against plans that lose an expert, overfill a rank or ask for more new
+// experts than an engine takes, which it would refuse.
+func TestPlansKeepTheLimits(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	limits := placement.Limits{Places: 5, MaxNew: 2, MaxCopies: 3}
+	for range 50 {
+		present := inTurn(4, 16, 64)
+		for range 5 {
+			plan := placement.Make(present, zipf(random, 4, 64, 1.1), limits)
+			must.True(t, plan.Map.Complete(64))
+			must.LessEq(t, plan.Before+1e-9, plan.After)
+			checkLimits(t, present, plan.Map, limits)
+			present = plan.Map
+		}
+	}
+}
+
+func checkLimits(t *testing.T, from, to placement.Map, limits placement.Limits) {
+	t.Helper()
+	copies := make([]int, len(from[0]))
+	for l := range to {
+		for r, list := range to[l] {
+			must.LessEq(t, limits.Places, len(list))
+			must.Eq(t, len(list), len(slices.Compact(slices.Clone(list))))
+			fresh := 0
+			for _, e := range list {
+				if !slices.Contains(from[l][r], e) {
+					fresh++
+				}
+			}
+			must.LessEq(t, limits.MaxNew, fresh)
+			copies[r] += fresh
+		}
+	}
+	must.LessEq(t, limits.MaxCopies, slices.Max(copies))
+}
+
+// Guards against a planner that stops early: a few rounds must bring the skew of
+// a steady load near what any map allows.
+func TestRoundsReachASmallSkew(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	work := zipf(random, 4, 64, 0.9)
+	present := inTurn(4, 16, 64)
+	limits := placement.Limits{Places: 5, MaxNew: 2, MaxCopies: 4}
+	skews := []float64{placement.Skew(present, work)}
+	for range 6 {
+		plan := placement.Make(present, work, limits)
+		present = plan.Map
+		skews = append(skews, plan.After)
+	}
+	t.Logf("skew by round: %.2f", skews)
+	must.Less(t, 1.2, skews[len(skews)-1])
+}
+
+func BenchmarkPlan(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 2))
+	work := zipf(random, 4, 64, 1.1)
+	present := inTurn(4, 16, 64)
+	for b.Loop() {
+		placement.Make(present, work, placement.Limits{Places: 5, MaxNew: 2, MaxCopies: 4})
+	}
+}
--- /dev/null
+++ b/internal/decide/placement/search.go
@@ -0,0 +1,234 @@
+package placement
+
+import "slices"
+
+// search is the state of the plan of one layer set.
+type search struct {
+	ranks  [][]int
+	work   []float64
+	limits Limits
+	// holders counts the copies of each expert.
+	holders []int
+	// load is the work of each rank, relative to the mean rank.
+	load []float64
+	// original tells which experts a rank need not copy.
+	original []map[int]bool
+	// fresh counts the new experts of each rank here, copies over all layer sets.
+	fresh  []int
+	copies []int
+	steps  int
+}
+
+// maxSteps bounds the moves in one layer set.
+const maxSteps = 200
+
+// target is the skew at which the search of a layer set stops. The measured work
+// differs from the work to come by more than that.
+const target = 1.04
+
+// leastGain keeps rounding errors and moves that hardly help out of a plan.
+const leastGain = 1e-6
+
+func newSearch(ranks [][]int, work []float64, limits Limits, copies []int) *search {
+	s := &search{
+		ranks: ranks, limits: limits, copies: copies, work: make([]float64, len(work)),
+		holders: make([]int, len(work)), load: make([]float64, len(ranks)), fresh: make([]int, len(ranks)),
+		original: make([]map[int]bool, len(ranks)),
+	}
+	total := 0.0
+	for _, w := range work {
+		total += w
+	}
+	for e, w := range work {
+		if total > 0 {
+			s.work[e] = w / total * float64(len(ranks))
+		}
+	}
+	for r, list := range ranks {
+		s.original[r] = make(map[int]bool, len(list))
+		for _, e := range list {
+			s.original[r][e] = true
+			s.holders[e]++
+		}
+	}
+	s.reload()
+	return s
+}
+
+func (s *search) reload() {
+	for r, list := range s.ranks {
+		s.load[r] = 0
+		for _, e := range list {
+			s.load[r] += s.work[e] / float64(s.holders[e])
+		}
+	}
+}
+
+func (s *search) hottest() int {
+	hot := 0
+	for r := range s.load {
+		if s.load[r] > s.load[hot] {
+			hot = r
+		}
+	}
+	return hot
+}
+
+func (s *search) skew() float64 {
+	if len(s.load) == 0 {
+		return 1
+	}
+	return s.load[s.hottest()]
+}
+
+// cost grows steeply with the load, so that the sum is ruled by the loaded ranks.
+func (s *search) cost() float64 {
+	sum := 0.0
+	for _, l := range s.load {
+		l *= l
+		l *= l
+		sum += l * l
+	}
+	return sum
+}
+
+// edit adds an expert to a rank, or removes it.
+type edit struct {
+	rank, expert int
+	add          bool
+}
+
+// move is a set of edits that are made together.
+type move struct {
+	edits []edit
+	gain  float64
+}
+
+// improve makes the move that relieves the most loaded rank most.
+func (s *search) improve() bool {
+	if s.steps >= maxSteps || s.skew() < target {
+		return false
+	}
+	s.steps++
+	best := move{gain: leastGain}
+	before := s.cost()
+	for _, edits := range s.candidates() {
+		if !s.allowed(edits) {
+			continue
+		}
+		s.apply(edits)
+		gain := (before - s.cost()) / float64(max(s.newExperts(edits), 1))
+		s.revert(edits)
+		if gain > best.gain {
+			best = move{edits: edits, gain: gain}
+		}
+	}
+	if best.edits == nil {
+		return false
+	}
+	for _, e := range best.edits {
+		s.count(e)
+	}
+	s.apply(best.edits)
+	return true
+}
+
+// candidates lists the moves that take work off the most loaded rank.
+func (s *search) candidates() [][]edit {
+	hot := s.hottest()
+	var list [][]edit
+	for _, e := range s.ranks[hot] {
+		if s.holders[e] > 1 {
+			list = append(list, []edit{{rank: hot, expert: e}})
+		}
+		for r := range s.ranks {
+			if r == hot || s.load[r] >= s.load[hot] || slices.Contains(s.ranks[r], e) {
+				continue
+			}
+			list = s.toward(list, hot, r, e)
+		}
+	}
+	return list
+}
+
+// toward lists the ways to bring expert e of the most loaded rank to rank r.
+func (s *search) toward(list [][]edit, hot, r, e int) [][]edit {
+	add, leave := edit{rank: r, expert: e, add: true}, edit{rank: hot, expert: e}
+	if len(s.ranks[r]) < s.limits.Places {
+		list = append(list, []edit{add}, []edit{add, leave})
+	}
+	for _, f := range s.ranks[r] {
+		if f == e {
+			continue
+		}
+		drop := edit{rank: r, expert: f}
+		if s.holders[f] > 1 {
+			list = append(list, []edit{drop, add}, []edit{drop, add, leave})
+		}
+		if !slices.Contains(s.ranks[hot], f) && s.work[f] < s.work[e] {
+			list = append(list, []edit{drop, leave, add, {rank: hot, expert: f, add: true}})
+		}
+	}
+	return list
+}
+
+// allowed reports whether the ranks may copy that many experts.
+func (s *search) allowed(edits []edit) bool {
+	for _, e := range edits {
+		if !e.add || s.original[e.rank][e.expert] {
+			continue
+		}
+		if s.fresh[e.rank] >= s.limits.MaxNew || s.copies[e.rank] >= s.limits.MaxCopies {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *search) newExperts(edits []edit) int {
+	n := 0
+	for _, e := range edits {
+		if e.add && !s.original[e.rank][e.expert] {
+			n++
+		}
+	}
+	return n
+}
+
+// count keeps the number of new experts of the rank of an edit.
+func (s *search) count(e edit) {
+	if s.original[e.rank][e.expert] {
+		return
+	}
+	change := -1
+	if e.add {
+		change = 1
+	}
+	s.fresh[e.rank] += change
+	s.copies[e.rank] += change
+}
+
+func (s *search) apply(edits []edit) {
+	for _, e := range edits {
+		s.edit(e.rank, e.expert, e.add)
+	}
+	s.reload()
+}
+
+func (s *search) revert(edits []edit) {
+	for i := len(edits) - 1; i >= 0; i-- {
+		s.edit(edits[i].rank, edits[i].expert, !edits[i].add)
+	}
+	s.reload()
+}
+
+func (s *search) edit(r, e int, add bool) {
+	if add {
+		s.ranks[r] = append(s.ranks[r], e)
+		s.holders[e]++
+		return
+	}
+	i := slices.Index(s.ranks[r], e)
+	s.ranks[r] = slices.Delete(s.ranks[r], i, i+1)
+	s.holders[e]--
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -70,7 +70,9 @@
 	registry *registry.Registry
 	links    map[*link.Link]struct{}
 	// dialers are the running diallers by address.
-	dialers  map[string]context.CancelFunc
+	dialers map[string]context.CancelFunc
+	// seeds are the entries of the settings, known all that were heard of.
+	seeds    []string
 	known    []string
 	ticks    int
 	dial     func(ctx context.Context, address string)
@@ -313,10 +315,11 @@
 }
 
 // join dials the known entries. Of two entries the one with the smaller address
-// dials, so that there is one link between them.
+// dials, so that there is one link between them. The entries of the settings are
+// dialled in any case, since they do not know this one yet.
 func (c *control) join(ctx context.Context) {
 	for _, a := range c.known {
-		if _, running := c.dialers[a]; running || a < c.address {
+		if _, running := c.dialers[a]; running || a < c.address && !slices.Contains(c.seeds, a) {
 			continue
 		}
 		limited, cancel := context.WithCancel(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	c.instance, c.address, c.known = s.Instance, s.LinkListen, nil
+	c.instance, c.address = s.Instance, s.LinkListen
 	c.dispatch, c.pool, c.logger = p.dispatch.mailbox, p.pool, p.options.Logger
 	c.drain = p.drain
 	random := p.random(2)
@@ -173,6 +173,7 @@
 	}
 	for _, seed := range s.Seeds {
 		if seed != s.LinkListen {
+			c.seeds = append(c.seeds, seed)
 			c.known = append(c.known, seed)
 		}
 	}
--- /dev/null
+++ b/internal/rank/agent.go
@@ -0,0 +1,400 @@
+package rank
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/mapswitch"
+	"github.com/anvilpoint/anvilpoint/internal/decide/placement"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/link"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+const agentCapacity = 512
+
+type agentMessage interface{ isAgentMessage() }
+
+type (
+	// engineRead is a reading of the engine.
+	engineRead struct{ state mapswitch.EngineState }
+	// loadRead is what the engine's requests chose, and what the engine holds.
+	loadRead struct {
+		counts  []uint64
+		experts [][]int
+		epoch   uint64
+	}
+	orderEnded struct {
+		order  mapswitch.Order
+		result mapswitch.Result
+	}
+	linkEvent struct{ event link.Event }
+	// peersRead are the addresses for links of the processes beside the other ranks.
+	peersRead struct{ addresses []string }
+	modelRead struct{ model *record.EngineModel }
+	// askBusy asks whether the engine should be read often.
+	askBusy     struct{ reply chan<- bool }
+	stopProcess struct{}
+)
+
+func (engineRead) isAgentMessage()  {}
+func (loadRead) isAgentMessage()    {}
+func (orderEnded) isAgentMessage()  {}
+func (linkEvent) isAgentMessage()   {}
+func (peersRead) isAgentMessage()   {}
+func (modelRead) isAgentMessage()   {}
+func (askBusy) isAgentMessage()     {}
+func (stopProcess) isAgentMessage() {}
+
+// agent is the task that owns the decisions about the rank's expert map, and,
+// beside rank 0, about the group's.
+type agent struct {
+	mailbox *task.Mailbox[agentMessage]
+	rank    *mapswitch.Rank
+	leader  *mapswitch.Leader
+	planner planner
+	address string
+	links   map[*link.Link]uint64
+	// sessions numbers the links in the order in which they came up.
+	sessions uint64
+	// leading is the link to the leader whose command came last.
+	leading *link.Link
+	// byRank are the links to the other ranks as the leader knows them.
+	byRank  map[ident.Rank]*link.Link
+	dialers map[string]context.CancelFunc
+	dial    func(ctx context.Context, address string)
+	order   func(o mapswitch.Order)
+	counts  []uint64
+	experts [][]int
+	logger  zerolog.Logger
+	metrics *metrics
+}
+
+// run is the task. It returns when the process is asked to stop.
+func (a *agent) run(ctx context.Context) error {
+	defer a.mailbox.Close()
+	timer := time.NewTicker(tickInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case m := <-a.mailbox.Receive():
+			if _, stop := m.(stopProcess); stop {
+				return nil
+			}
+			a.step(ctx, time.Now(), m)
+		case <-timer.C:
+			a.tick(ctx, time.Now())
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (a *agent) step(ctx context.Context, now time.Time, m agentMessage) {
+	switch m := m.(type) {
+	case engineRead:
+		a.carryOut(ctx, now, a.rank.Observe(now, m.state))
+	case loadRead:
+		a.loadRead(m)
+	case orderEnded:
+		a.carryOut(ctx, now, a.rank.Answered(now, m.order, m.result))
+	case linkEvent:
+		a.link(ctx, now, m.event)
+	case peersRead:
+		a.join(ctx, m.addresses)
+	case modelRead:
+		a.planner.model = m.model
+	case askBusy:
+		m.reply <- a.rank.Busy()
+	}
+}
+
+// loadRead keeps a reading unless the engine has joined another formation since.
+func (a *agent) loadRead(m loadRead) {
+	if s, known := a.rank.Engine(); known && s.Epoch == m.epoch {
+		a.counts, a.experts = m.counts, m.experts
+	}
+}
+
+func (a *agent) tick(ctx context.Context, now time.Time) {
+	if at, running := a.rank.Deadline(); running && !at.After(now) {
+		a.carryOut(ctx, now, a.rank.Tick(now))
+	}
+	s, known := a.rank.Engine()
+	if !known || s.Rank != 0 || !s.Open {
+		return
+	}
+	a.carryOut(ctx, now, a.leader.Lead(now, s.Group, s.Epoch, s.Size))
+	a.carryOut(ctx, now, a.leader.Tick(now))
+	if !a.leader.Watching() {
+		return
+	}
+	if plan, ok := a.planner.plan(now, s.Epoch, a.leader.Statuses()); ok {
+		a.metrics.planned(plan)
+		a.logger.Info().Float64("skew", plan.Before).Float64("planned", plan.After).Int("copies", plan.Copies).Msg("map change proposed")
+		a.carryOut(ctx, now, a.leader.Propose(now, plan.Map))
+	}
+}
+
+func (a *agent) carryOut(ctx context.Context, now time.Time, actions []mapswitch.Action) {
+	for _, one := range actions {
+		switch one := one.(type) {
+		case mapswitch.Instruct:
+			a.order(one.Order)
+		case mapswitch.Report:
+			a.report(ctx, now, one.Status)
+		case mapswitch.Send:
+			a.send(ctx, now, one)
+		case mapswitch.Notice:
+			a.logger.Info().Uint64("version", uint64(one.Version)).Uint64("step", one.Step).Str("change", one.Name).Msg(one.Detail)
+			a.metrics.changes.WithLabelValues(one.Name).Inc()
+		}
+	}
+}
+
+// frame is one message of the protocol on a link. One of the fields is set.
+type frame struct {
+	Command *mapswitch.Command `cbor:"1,keyasint,omitempty"`
+	Status  *mapswitch.Status  `cbor:"2,keyasint,omitempty"`
+	// Rank is the sender's.
+	Rank ident.Rank `cbor:"3,keyasint"`
+}
+
+func (a *agent) transmit(l *link.Link, f frame) {
+	s, _ := a.rank.Engine()
+	f.Rank = s.Rank
+	payload, err := cbor.Marshal(f)
+	if err != nil {
+		a.logger.Error().Err(err).Msg("map change: a message cannot be encoded")
+		return
+	}
+	l.Send(&message.MapSwitch{Payload: payload})
+}
+
+// report sends the rank's status to the leader it follows.
+func (a *agent) report(ctx context.Context, now time.Time, s mapswitch.Status) {
+	if s.Phase == mapswitch.Idle {
+		s.Counts, s.Experts = a.counts, a.experts
+	}
+	if s.Rank == 0 {
+		a.carryOut(ctx, now, a.leader.Receive(now, s))
+		return
+	}
+	if a.leading != nil {
+		a.transmit(a.leading, frame{Status: &s})
+	}
+}
+
+func (a *agent) send(ctx context.Context, now time.Time, m mapswitch.Send) {
+	if m.To == 0 {
+		a.carryOut(ctx, now, a.rank.Receive(now, ownSession, m.Command))
+		return
+	}
+	if l := a.byRank[m.To]; l != nil {
+		a.transmit(l, frame{Command: &m.Command})
+	} else if m.Command.Verb == mapswitch.Beat {
+		// The rank behind a link is not known until it has answered.
+		for l := range a.links {
+			if !a.ranked(l) {
+				a.transmit(l, frame{Command: &m.Command})
+			}
+		}
+	}
+}
+
+// ownSession numbers the way from the leader to the rank in the same process.
+const ownSession = 1 << 62
+
+func (a *agent) ranked(l *link.Link) bool {
+	for _, one := range a.byRank {
+		if one == l {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *agent) link(ctx context.Context, now time.Time, e link.Event) {
+	peer := string(e.Link.Peer().Instance)
+	switch e.Kind {
+	case link.Up:
+		a.sessions++
+		a.links[e.Link] = a.sessions
+		a.logger.Info().Str("peer", peer).Msg("link to rank up")
+	case link.Down:
+		a.forget(e.Link)
+		a.logger.Info().Str("peer", peer).AnErr("cause", e.Err).Msg("link to rank down")
+	}
+	for _, m := range e.Messages {
+		if one, ok := m.(*message.MapSwitch); ok {
+			a.received(ctx, now, e.Link, one.Payload)
+		}
+	}
+}
+
+func (a *agent) forget(l *link.Link) {
+	delete(a.links, l)
+	if a.leading == l {
+		a.leading = nil
+	}
+	for r, one := range a.byRank {
+		if one == l {
+			delete(a.byRank, r)
+		}
+	}
+}
+
+func (a *agent) received(ctx context.Context, now time.Time, from *link.Link, payload []byte) {
+	var f frame
+	if err := cbor.Unmarshal(payload, &f); err != nil {
+		a.logger.Error().Err(err).Msg("map change: a message cannot be decoded")
+		return
+	}
+	switch {
+	case f.Command != nil:
+		a.leading = from
+		a.carryOut(ctx, now, a.rank.Receive(now, a.links[from], *f.Command))
+	case f.Status != nil:
+		if s, known := a.rank.Engine(); known && f.Status.Epoch == s.Epoch && f.Status.Group == s.Group {
+			a.byRank[f.Status.Rank] = from
+		}
+		a.carryOut(ctx, now, a.leader.Receive(now, *f.Status))
+	}
+}
+
+// join dials the processes beside the other ranks. Of two processes the one with
+// the smaller address dials.
+func (a *agent) join(ctx context.Context, addresses []string) {
+	wanted := make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		if address <= a.address {
+			continue
+		}
+		wanted[address] = true
+		if _, running := a.dialers[address]; running {
+			continue
+		}
+		limited, cancel := context.WithCancel(ctx)
+		a.dialers[address] = cancel
+		a.dial(limited, address)
+	}
+	for address, cancel := range a.dialers {
+		if !wanted[address] {
+			cancel()
+			delete(a.dialers, address)
+		}
+	}
+}
+
+// planner decides when the leader proposes a map.
+type planner struct {
+	model *record.EngineModel
+	// epoch and last are the formation and the counts of the last reading.
+	epoch uint64
+	last  [][]uint64
+	at    time.Time
+	work  [][]float64
+	ready bool
+}
+
+const (
+	// planInterval is the least time between two looks at the counts. In it a group
+	// under load makes several passes.
+	planInterval = 350 * time.Millisecond
+	// forgetPart is the part of the earlier counts that a new reading keeps.
+	// Popularity changes within seconds.
+	forgetPart = 0.35
+	// leastSkew and leastGain bound what is worth a change: an engine is some
+	// hundredths slower while it copies.
+	leastSkew = 1.12
+	leastGain = 0.06
+	// maxCopies bounds the new experts of a rank in one change, and with them the
+	// time until the map is used.
+	maxCopies = 4
+	// leastCounts is the number of choices per layer set below which a reading says
+	// little about popularity.
+	leastCounts = 2000
+)
+
+func (p *planner) plan(now time.Time, epoch uint64, statuses []mapswitch.Status) (placement.Plan, bool) {
+	if p.model == nil || now.Sub(p.at) < planInterval {
+		return placement.Plan{}, false
+	}
+	present, sum, ok := gather(statuses, p.model)
+	if !ok {
+		return placement.Plan{}, false
+	}
+	p.at = now
+	p.observe(epoch, sum)
+	if !p.ready {
+		return placement.Plan{}, false
+	}
+	if placement.Skew(present, p.work) < leastSkew {
+		return placement.Plan{}, false
+	}
+	plan := placement.Make(present, p.work, placement.Limits{
+		Places: p.model.Placements, MaxNew: p.model.MaxNew, MaxCopies: maxCopies,
+	})
+	return plan, plan.Before-plan.After >= leastGain && plan.Map.Complete(p.model.Experts)
+}
+
+// gather puts the ranks' experts together and adds up their counts.
+func gather(statuses []mapswitch.Status, model *record.EngineModel) (placement.Map, [][]uint64, bool) {
+	present := make(placement.Map, model.Layers)
+	sum := make([][]uint64, model.Layers)
+	for l := range present {
+		sum[l] = make([]uint64, model.Experts)
+		for _, s := range statuses {
+			if len(s.Experts) != model.Layers || len(s.Counts) != model.Layers*model.Experts {
+				return nil, nil, false
+			}
+			present[l] = append(present[l], s.Experts[l])
+			for e := range sum[l] {
+				sum[l][e] += s.Counts[l*model.Experts+e]
+			}
+		}
+	}
+	return present, sum, present.Complete(model.Experts)
+}
+
+// observe takes the sum of all ranks' counts.
+func (p *planner) observe(epoch uint64, sum [][]uint64) {
+	last := p.last
+	p.last = sum
+	if epoch != p.epoch || len(last) != len(sum) {
+		p.epoch, p.work, p.ready = epoch, nil, false
+		return
+	}
+	fresh := make([][]float64, len(sum))
+	for l := range sum {
+		fresh[l] = make([]float64, len(sum[l]))
+		total := 0.0
+		for e := range sum[l] {
+			if sum[l][e] < last[l][e] {
+				return
+			}
+			fresh[l][e] = float64(sum[l][e] - last[l][e])
+			total += fresh[l][e]
+		}
+		if total < leastCounts {
+			// The choices count together with those of the next reading.
+			p.last = last
+			return
+		}
+		if p.work != nil {
+			for e := range fresh[l] {
+				fresh[l][e] = (1-forgetPart)*fresh[l][e]/total + forgetPart*p.work[l][e]
+			}
+			continue
+		}
+		for e := range fresh[l] {
+			fresh[l][e] /= total
+		}
+	}
+	p.work, p.ready = fresh, true
+}
--- /dev/null
+++ b/internal/rank/metrics.go
@@ -0,0 +1,49 @@
+package rank
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/mapswitch"
+	"github.com/anvilpoint/anvilpoint/internal/decide/placement"
+)
+
+// metrics are the counters of the process beside a rank.
+type metrics struct {
+	registry *prometheus.Registry
+	changes  *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+	links    *prometheus.CounterVec
+	skew     *prometheus.GaugeVec
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "anvilpoint_map_transitions_total", Help: "Transitions of changes of the expert map by the state entered."}, []string{"state"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "anvilpoint_engine_orders_total", Help: "Orders to the engine by kind and result."}, []string{"order", "result"}),
+		links: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "anvilpoint_links_closed_total", Help: "Links to other processes that closed, by reason."}, []string{"reason"}),
+		skew: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "anvilpoint_map_skew", Help: "Work of the most loaded rank over the mean, before and after the last plan."}, []string{"when"}),
+	}
+	m.registry.MustRegister(m.changes, m.orders, m.links, m.skew)
+	return m
+}
+
+func (m *metrics) planned(p placement.Plan) {
+	m.skew.WithLabelValues("before").Set(p.Before)
+	m.skew.WithLabelValues("planned").Set(p.After)
+}
+
+func (m *metrics) order(kind mapswitch.OrderKind, result mapswitch.Result) {
+	text := "unanswered"
+	switch result {
+	case mapswitch.Accepted:
+		text = "accepted"
+	case mapswitch.Conflicting:
+		text = "conflicting"
+	}
+	m.orders.WithLabelValues(string(kind), text).Inc()
+}
