--- a/internal/decide/mapswitch/leader.go
+++ b/internal/decide/mapswitch/leader.go
@@ -16,7 +16,7 @@
 	// followed it.
 	resend = 60 * time.Millisecond
 	// beatInterval is the interval of beats while no change is under way.
-	beatInterval = 250 * time.Millisecond
+	beatInterval = 120 * time.Millisecond
 	// statusMemory is how long a status holds.
 	statusMemory = 1500 * time.Millisecond
 	// prepareLimit bounds the copies of a change, promiseLimit the time in which
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -63,15 +63,23 @@
 // Plan is a proposed map.
 type Plan struct {
 	Map Map
-	// Before and After are the mean over the layer sets of the most loaded rank's
-	// work over the mean rank's.
+	// Before and After are the skews of the present and the planned map.
 	Before, After float64
 	// Copies is the largest number of new experts of any rank.
 	Copies int
 }
 
-// Make plans from the present map and the work of each expert by layer set.
-func Make(present Map, work [][]float64, limits Limits) Plan {
+// Load is what a plan balances.
+type Load struct {
+	// Work is the work of each expert by layer set, in any unit.
+	Work [][]float64
+	// Pace is the time of each rank for the same work, 1 for a healthy one. Ranks
+	// without a pace count as healthy.
+	Pace []float64
+}
+
+// Make plans from the present map.
+func Make(present Map, load Load, limits Limits) Plan {
 	p := Plan{Map: present.Clone()}
 	if len(present) == 0 {
 		return p
@@ -79,7 +87,7 @@
 	searches := make([]*search, len(present))
 	copies := make([]int, len(present[0]))
 	for l := range present {
-		searches[l] = newSearch(p.Map[l], work[l], limits, copies)
+		searches[l] = newSearch(p.Map[l], load.Work[l], load.Pace, limits, copies)
 		p.Before += searches[l].skew() / float64(len(present))
 	}
 	// One move per layer set in turn shares the copies of a rank among them.
@@ -99,12 +107,12 @@
 	return p
 }
 
-// Skew returns the mean over the layer sets of the most loaded rank's work over
-// the mean rank's.
-func Skew(m Map, work [][]float64) float64 {
+// Skew returns the mean over the layer sets of the slowest rank's time over the
+// best that any map allows.
+func Skew(m Map, load Load) float64 {
 	sum := 0.0
 	for l := range m {
-		sum += newSearch(m[l], work[l], Limits{}, nil).skew() / float64(len(m))
+		sum += newSearch(m[l], load.Work[l], load.Pace, Limits{}, nil).skew() / float64(len(m))
 	}
 	return sum
 }
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -42,7 +42,7 @@
 	for range 50 {
 		present := inTurn(4, 16, 64)
 		for range 5 {
-			plan := placement.Make(present, zipf(random, 4, 64, 1.1), limits)
+			plan := placement.Make(present, placement.Load{Work: zipf(random, 4, 64, 1.1)}, limits)
 			must.True(t, plan.Map.Complete(64))
 			must.LessEq(t, plan.Before+1e-9, plan.After)
 			checkLimits(t, present, plan.Map, limits)
@@ -75,12 +75,12 @@
 // a steady load near what any map allows.
 func TestRoundsReachASmallSkew(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	work := zipf(random, 4, 64, 0.9)
+	load := placement.Load{Work: zipf(random, 4, 64, 0.9)}
 	present := inTurn(4, 16, 64)
 	limits := placement.Limits{Places: 5, MaxNew: 2, MaxCopies: 4}
-	skews := []float64{placement.Skew(present, work)}
+	skews := []float64{placement.Skew(present, load)}
 	for range 6 {
-		plan := placement.Make(present, work, limits)
+		plan := placement.Make(present, load, limits)
 		present = plan.Map
 		skews = append(skews, plan.After)
 	}
@@ -88,11 +88,28 @@
 	must.Less(t, 1.2, skews[len(skews)-1])
 }
 
+// Guards against a plan that leaves a slow rank, which all others wait for, with
+// as much work as a healthy one.
+func TestSlowRankGetsLessWork(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	pace := make([]float64, 16)
+	pace[5] = 4
+	load := placement.Load{Work: zipf(random, 4, 64, 0.5), Pace: pace}
+	present := inTurn(4, 16, 64)
+	before := placement.Skew(present, load)
+	for range 6 {
+		present = placement.Make(present, load, placement.Limits{Places: 5, MaxNew: 2, MaxCopies: 4}).Map
+	}
+	after := placement.Skew(present, load)
+	t.Logf("skew %.2f to %.2f", before, after)
+	must.Less(t, 1.3, after)
+}
+
 func BenchmarkPlan(b *testing.B) {
 	random := rand.New(rand.NewPCG(1, 2))
-	work := zipf(random, 4, 64, 1.1)
+	load := placement.Load{Work: zipf(random, 4, 64, 1.1)}
 	present := inTurn(4, 16, 64)
 	for b.Loop() {
-		placement.Make(present, work, placement.Limits{Places: 5, MaxNew: 2, MaxCopies: 4})
+		placement.Make(present, load, placement.Limits{Places: 5, MaxNew: 2, MaxCopies: 4})
 	}
 }
--- a/internal/decide/placement/search.go
+++ b/internal/decide/placement/search.go
@@ -7,9 +7,11 @@
 	ranks  [][]int
 	work   []float64
 	limits Limits
-	// holders counts the copies of each expert.
-	holders []int
-	// load is the work of each rank, relative to the mean rank.
+	// holders are the ranks with a copy of each expert.
+	holders [][]int
+	// pace is the time of each rank for the same work.
+	pace []float64
+	// load is the time of each rank, relative to the best that any map allows.
 	load []float64
 	// original tells which experts a rank need not copy.
 	original []map[int]bool
@@ -29,26 +31,29 @@
 // leastGain keeps rounding errors and moves that hardly help out of a plan.
 const leastGain = 1e-6
 
-func newSearch(ranks [][]int, work []float64, limits Limits, copies []int) *search {
+func newSearch(ranks [][]int, work, pace []float64, limits Limits, copies []int) *search {
 	s := &search{
-		ranks: ranks, limits: limits, copies: copies, work: make([]float64, len(work)),
-		holders: make([]int, len(work)), load: make([]float64, len(ranks)), fresh: make([]int, len(ranks)),
+		ranks: ranks, limits: limits, copies: copies, work: make([]float64, len(work)), pace: pace,
+		holders: make([][]int, len(work)), load: make([]float64, len(ranks)), fresh: make([]int, len(ranks)),
 		original: make([]map[int]bool, len(ranks)),
 	}
-	total := 0.0
+	total, speed := 0.0, 0.0
 	for _, w := range work {
 		total += w
 	}
+	for r := range ranks {
+		speed += 1 / s.paceOf(r)
+	}
 	for e, w := range work {
 		if total > 0 {
-			s.work[e] = w / total * float64(len(ranks))
+			s.work[e] = w / total * speed
 		}
 	}
 	for r, list := range ranks {
 		s.original[r] = make(map[int]bool, len(list))
 		for _, e := range list {
 			s.original[r][e] = true
-			s.holders[e]++
+			s.holders[e] = append(s.holders[e], r)
 		}
 	}
 	s.reload()
@@ -59,11 +64,19 @@
 	for r, list := range s.ranks {
 		s.load[r] = 0
 		for _, e := range list {
-			s.load[r] += s.work[e] / float64(s.holders[e])
+			s.load[r] += s.paceOf(r) * s.work[e] / float64(len(s.holders[e]))
 		}
 	}
 }
 
+// paceOf is at least that of a healthy rank.
+func (s *search) paceOf(r int) float64 {
+	if r >= len(s.pace) {
+		return 1
+	}
+	return max(s.pace[r], 1)
+}
+
 func (s *search) hottest() int {
 	hot := 0
 	for r := range s.load {
@@ -130,6 +143,8 @@
 		s.count(e)
 	}
 	s.apply(best.edits)
+	// The loads were changed step by step, which adds rounding errors up.
+	s.reload()
 	return true
 }
 
@@ -138,7 +153,7 @@
 	hot := s.hottest()
 	var list [][]edit
 	for _, e := range s.ranks[hot] {
-		if s.holders[e] > 1 {
+		if len(s.holders[e]) > 1 {
 			list = append(list, []edit{{rank: hot, expert: e}})
 		}
 		for r := range s.ranks {
@@ -162,7 +177,7 @@
 			continue
 		}
 		drop := edit{rank: r, expert: f}
-		if s.holders[f] > 1 {
+		if len(s.holders[f]) > 1 {
 			list = append(list, []edit{drop, add}, []edit{drop, add, leave})
 		}
 		if !slices.Contains(s.ranks[hot], f) && s.work[f] < s.work[e] {
@@ -212,23 +227,39 @@
 	for _, e := range edits {
 		s.edit(e.rank, e.expert, e.add)
 	}
-	s.reload()
 }
 
 func (s *search) revert(edits []edit) {
 	for i := len(edits) - 1; i >= 0; i-- {
 		s.edit(edits[i].rank, edits[i].expert, !edits[i].add)
 	}
-	s.reload()
 }
 
+// edit changes one place and the loads of the ranks that share the expert.
 func (s *search) edit(r, e int, add bool) {
+	s.share(e, -1)
 	if add {
 		s.ranks[r] = append(s.ranks[r], e)
-		s.holders[e]++
+		s.holders[e] = append(s.holders[e], r)
+	} else {
+		s.ranks[r] = remove(s.ranks[r], e)
+		s.holders[e] = remove(s.holders[e], r)
+	}
+	s.share(e, 1)
+}
+
+// share adds an expert's work to the loads of its ranks, or takes it off.
+func (s *search) share(e int, sign float64) {
+	if len(s.holders[e]) == 0 {
 		return
 	}
-	i := slices.Index(s.ranks[r], e)
-	s.ranks[r] = slices.Delete(s.ranks[r], i, i+1)
-	s.holders[e]--
+	part := sign * s.work[e] / float64(len(s.holders[e]))
+	for _, r := range s.holders[e] {
+		s.load[r] += part * s.paceOf(r)
+	}
+}
+
+func remove(list []int, value int) []int {
+	i := slices.Index(list, value)
+	return slices.Delete(list, i, i+1)
 }
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -323,17 +323,17 @@
 const (
 	// planInterval is the least time between two looks at the counts. In it a group
 	// under load makes several passes.
-	planInterval = 350 * time.Millisecond
+	planInterval = 180 * time.Millisecond
 	// forgetPart is the part of the earlier counts that a new reading keeps.
 	// Popularity changes within seconds.
-	forgetPart = 0.35
+	forgetPart = 0.5
 	// leastSkew and leastGain bound what is worth a change: an engine is some
 	// hundredths slower while it copies.
 	leastSkew = 1.12
 	leastGain = 0.06
 	// maxCopies bounds the new experts of a rank in one change, and with them the
 	// time until the map is used.
-	maxCopies = 4
+	maxCopies = 2
 	// leastCounts is the number of choices per layer set below which a reading says
 	// little about popularity.
 	leastCounts = 2000
@@ -352,10 +352,14 @@
 	if !p.ready {
 		return placement.Plan{}, false
 	}
-	if placement.Skew(present, p.work) < leastSkew {
+	load := placement.Load{Work: p.work}
+	for _, s := range statuses {
+		load.Pace = append(load.Pace, s.Pace)
+	}
+	if placement.Skew(present, load) < leastSkew {
 		return placement.Plan{}, false
 	}
-	plan := placement.Make(present, p.work, placement.Limits{
+	plan := placement.Make(present, load, placement.Limits{
 		Places: p.model.Placements, MaxNew: p.model.MaxNew, MaxCopies: maxCopies,
 	})
 	return plan, plan.Before-plan.After >= leastGain && plan.Map.Complete(p.model.Experts)
