--- a/internal/decide/mapswitch/leader.go
+++ b/internal/decide/mapswitch/leader.go
@@ -28,8 +28,9 @@
 	// a healthy process needs about a tenth of it.
 	assistAfter = 150 * time.Millisecond
 	// stepMargin is the number of passes between the last one begun and the one at
-	// which the map changes. The promises arrive in about the time of one pass.
-	stepMargin = 2
+	// which the map changes. The promises and the arms take up to two passes; a pass
+	// that has to wait for them delays every stream of the group.
+	stepMargin = 3
 )
 
 // Leader leads the changes of one group. The task beside rank 0 owns it.
--- a/internal/decide/placement/search.go
+++ b/internal/decide/placement/search.go
@@ -26,7 +26,7 @@
 
 // target is the skew at which the search of a layer set stops. The measured work
 // differs from the work to come by more than that.
-const target = 1.04
+const target = 1.15
 
 // leastGain keeps rounding errors and moves that hardly help out of a plan.
 const leastGain = 1e-6
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -327,13 +327,14 @@
 	// forgetPart is the part of the earlier counts that a new reading keeps.
 	// Popularity changes within seconds.
 	forgetPart = 0.5
-	// leastSkew and leastGain bound what is worth a change: an engine is some
-	// hundredths slower while it copies.
-	leastSkew = 1.12
+	// leastSkew and leastGain bound what is worth a change: copies are priced, an
+	// engine is slower by 0.15 while it copies, and the popularity of the next
+	// second differs from the measured one.
+	leastSkew = 1.25
 	leastGain = 0.06
-	// maxCopies bounds the new experts of a rank in one change, and with them the
-	// time until the map is used.
-	maxCopies = 2
+	// maxCopies bounds the new experts of a rank in one change over all layer sets,
+	// and with them the time until the map is used: 0.11 s for each.
+	maxCopies = 1
 	// leastCounts is the number of choices per layer set below which a reading says
 	// little about popularity.
 	leastCounts = 2000
