rank, mapswitch, gateway: margin by the time of a pass; requests on time first

The pass at which a map changes is chosen by time (0.12 s ahead) instead of a fixed number of passes. Requests that can still be on time get a place before late ones. A random part in the choice of a server keeps entries with the same old counts from choosing the same one.

--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -34,6 +34,8 @@
 	// farLoad is added to the load of a server in another failure domain. It only
 	// decides between servers that are loaded alike.
 	farLoad = 0.4
+	// loadNoise is the range of the random part of a server's load.
+	loadNoise = 1.0
 	// plainQueue is how many requests per slot a plain service may hold. Its
 	// servers queue a few requests beyond their slots.
 	plainQueue = 2
@@ -212,22 +214,15 @@
 // Pick chooses the server with the least work among those not yet tried.
 func (s *Service) Pick(now time.Time, tried []ident.ServerID) (registry.Server, bool) {
 	var best *server
-	lowest, ties := 0.0, 0
+	lowest := 0.0
 	for _, doubtful := range []bool{false, true} {
 		for _, b := range s.order {
 			b.life.Tick(now)
 			if contains(tried, b.ID) || !b.takes(doubtful) {
 				continue
 			}
-			score := s.score(now, b)
-			switch {
-			case best == nil || score < lowest:
-				best, lowest, ties = b, score, 1
-			case score == lowest:
-				ties++
-				if s.random.IntN(ties) == 0 {
-					best = b
-				}
+			if score := s.score(now, b); best == nil || score < lowest {
+				best, lowest = b, score
 			}
 		}
 		if best != nil {
@@ -264,7 +259,9 @@
 }
 
 func (s *Service) score(now time.Time, b *server) float64 {
-	score := float64(s.load(now, b))
+	// The counts of other entries are up to 0.15 s old. Without the random part all
+	// entries would choose the same server meanwhile.
+	score := float64(s.load(now, b)) + s.random.Float64()*loadNoise
 	if b.Domain != s.config.Domain {
 		score += farLoad
 	}
--- a/internal/decide/mapswitch/leader.go
+++ b/internal/decide/mapswitch/leader.go
@@ -27,10 +27,17 @@
 	// leader orders its engine itself. All streams of the group wait meanwhile, and
 	// a healthy process needs about a tenth of it.
 	assistAfter = 100 * time.Millisecond
-	// stepMargin is the number of passes between the last one begun and the one at
-	// which the map changes. The promises and the arms take up to two passes; a pass
-	// that has to wait for them delays every stream of the group.
-	stepMargin = 3
+	// leadTime is how long before its pass a change is announced. The promises and
+	// the arms take up to 50 ms; a pass that has to wait for them delays every
+	// stream of the group.
+	leadTime = 120 * time.Millisecond
+	// leastMargin and mostMargin bound the announcement in passes.
+	leastMargin = 2
+	mostMargin  = 4
+	// passGain is the weight of one observation of the time of a pass.
+	passGain = 0.3
+	// mostPasses leaves out observations over a gap, as after a lost connection.
+	mostPasses = 20
 )
 
 // Leader leads the changes of one group. The task beside rank 0 owns it.
@@ -46,6 +53,11 @@
 	step        uint64
 	content     placement.Map
 	sent        time.Time
+	// passTime is the smoothed time of a pass, and begun and begunAt the last
+	// observation.
+	passTime time.Duration
+	begun    uint64
+	begunAt  time.Time
 	// decided is when the leader's present state was entered.
 	decided time.Time
 	actions []Action
@@ -126,6 +138,7 @@
 		l.group, l.epoch, l.size = group, epoch, size
 		l.ranks = make([]rankView, size)
 		l.version, l.step, l.content = 0, 0, nil
+		l.passTime, l.begun = 0, 0
 		l.fire("reset")
 	}
 	return l.take()
@@ -162,6 +175,7 @@
 		s.Counts = old.Counts
 	}
 	l.ranks[s.Rank].status, l.ranks[s.Rank].at = s, now
+	l.observePass(s.Begun)
 	l.advance()
 	return l.take()
 }
@@ -301,7 +315,28 @@
 	for _, r := range l.ranks {
 		l.step = max(l.step, r.status.Begun)
 	}
-	l.step += stepMargin
+	l.step += l.margin()
+}
+
+// margin is the number of passes that take the lead time.
+func (l *Leader) margin() uint64 {
+	if l.passTime <= 0 {
+		return mostMargin
+	}
+	passes := 1 + (leadTime+l.passTime-1)/l.passTime
+	return uint64(min(max(passes, leastMargin), mostMargin))
+}
+
+// observePass learns the time of a pass from the last pass that a rank has begun.
+func (l *Leader) observePass(begun uint64) {
+	if begun <= l.begun {
+		return
+	}
+	if passes := time.Duration(begun - l.begun); l.begun > 0 && passes < mostPasses {
+		observed := l.now.Sub(l.begunAt) / passes
+		l.passTime += time.Duration(passGain * float64(observed-l.passTime))
+	}
+	l.begun, l.begunAt = begun, l.now
 }
 
 // unfinished returns the change that is under way at some rank, and its pass.
--- a/internal/decide/mapswitch/world_test.go
+++ b/internal/decide/mapswitch/world_test.go
@@ -32,8 +32,8 @@
 	// right after its first order of the kind.
 	freezeOn mapswitch.OrderKind
 	switches int
-	stalled                time.Duration
-	blocked                time.Time
+	stalled  time.Duration
+	blocked  time.Time
 }
 
 // fakeEngine is one rank's engine, as the platform describes it.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -16,7 +16,8 @@
 	l.front.metrics.ended.WithLabelValues(string(o.Kind), string(o.Reason)).Inc()
 	l.front.metrics.duration.Observe(took.Seconds())
 	defer func() {
-		l.log("request.ended", o.Reason, fmt.Sprintf("%s, status %d, %d attempts, %d ms", o.Kind, l.status, l.life.Sent(), took.Milliseconds()))
+		l.log("request.ended", o.Reason, fmt.Sprintf("%s, status %d, %d attempts, waited %d ms, first output after %d ms, longest gap %d ms, %d ms in all",
+			o.Kind, l.status, l.life.Sent(), l.waited.Milliseconds(), l.untilFirst().Milliseconds(), l.gap.Milliseconds(), took.Milliseconds()))
 	}()
 	switch {
 	case o.Reason == outcome.ReasonCanceled:
@@ -40,6 +41,14 @@
 	}
 }
 
+// untilFirst is the time to the first output of a stream, zero without one.
+func (l *flight) untilFirst() time.Duration {
+	if l.first.IsZero() {
+		return 0
+	}
+	return l.first.Sub(l.arrived)
+}
+
 // deliver passes the backend server's answer on unchanged.
 func (l *flight) deliver() {
 	l.status = l.answer.Head.Status
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -59,10 +59,14 @@
 	answer *upstream.Answered
 	begun  *upstream.Begun
 	// open says that the head of a stream has been written to the client.
-	open   bool
-	last   uint64
-	hasID  bool
-	pace   paceMeter
+	open  bool
+	last  uint64
+	hasID bool
+	pace  paceMeter
+	// first is when the first output came, and gap the longest pause after it.
+	first  time.Time
+	latest time.Time
+	gap    time.Duration
 	ending *request.End
 	status int
 }
@@ -333,6 +337,10 @@
 		l.step(now, request.Left{})
 		return
 	}
+	if l.first.IsZero() {
+		l.first, l.latest = now, now
+	}
+	l.gap, l.latest = max(l.gap, now.Sub(l.latest)), now
 	if gap, ready := l.pace.add(now, len(events)); ready {
 		l.front.dispatch.Send(detached(l.request), paced{service: l.service, gap: gap})
 	}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -11,12 +11,12 @@
 const (
 	// maxWaiting bounds the requests that wait for a place at one entry.
 	maxWaiting = 64
-	// waitPart is the part of the latency objective that a request may wait for a
-	// place. The rest is for the first output.
-	waitPart = 0.5
-	// lateWaitPart is the part of the time left that a request may wait which came
-	// back after a refusal. It is late in any case, but its client asks no more.
-	lateWaitPart = 0.2
+	// onTimePart is the part of the latency objective that a request may wait and
+	// still be on time. The rest is what a busy engine takes for the first output.
+	onTimePart = 0.4
+	// lateWaitPart is the part of the time left that a request waits in all. After
+	// the first part it is late, and gets a place when none that is on time waits.
+	lateWaitPart = 0.15
 	// backAfter tells a client that comes back from one that comes first: it has
 	// less time left than the route allows.
 	backAfter = 50 * time.Millisecond
@@ -30,22 +30,23 @@
 type waiter struct {
 	admit
 	admission
-	// back says that the request came back after a refusal.
-	back    bool
 	arrived time.Time
-	until   time.Time
+	// onTime is until when a place makes the request's answer on time, and until
+	// when it waits at all.
+	onTime time.Time
+	until  time.Time
+	// late says that onTime has passed.
+	late bool
 }
 
 // enqueue lets the request wait, at least until the next look.
 func (d *dispatch) enqueue(now time.Time, m admit, a admission) {
 	w := &waiter{admit: m, admission: a, arrived: now}
 	limit := timeLimit(m.timeLeft, a.route)
-	w.back = a.route.TimeLimit > 0 && limit < a.route.TimeLimit-backAfter
-	wait := time.Duration(waitPart * float64(a.route.Target))
-	if w.back {
-		wait = max(wait, time.Duration(lateWaitPart*float64(limit)))
-	}
-	w.until = now.Add(min(wait, limit/2))
+	w.onTime = now.Add(time.Duration(onTimePart * float64(a.route.Target)))
+	w.until = now.Add(time.Duration(lateWaitPart * float64(limit)))
+	// A client that comes back after a refusal has used up its objective.
+	w.late = a.route.TimeLimit > 0 && limit < a.route.TimeLimit-backAfter
 	at, _ := slices.BinarySearchFunc(d.waiting, w, compareWaiters)
 	d.waiting = slices.Insert(d.waiting, at, w)
 	if len(d.waiting) > maxWaiting {
@@ -55,17 +56,17 @@
 	}
 }
 
-// compareWaiters puts the more urgent first, then those that are not late yet,
-// then those that came earlier.
+// compareWaiters puts those that can still be on time first, then the more
+// urgent, then those that came earlier.
 func compareWaiters(a, b *waiter) int {
 	switch {
-	case a.priority != b.priority:
-		return a.priority - b.priority
-	case a.back != b.back:
-		if b.back {
+	case a.late != b.late:
+		if b.late {
 			return -1
 		}
 		return 1
+	case a.priority != b.priority:
+		return a.priority - b.priority
 	default:
 		return a.arrived.Compare(b.arrived)
 	}
@@ -74,6 +75,7 @@
 // serveWaiting gives free places to the waiting requests in their order, and
 // refuses those that have waited too long.
 func (d *dispatch) serveWaiting(now time.Time) {
+	d.markLate(now)
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
 		switch {
@@ -90,6 +92,19 @@
 	d.waiting = kept
 }
 
+// markLate moves the requests behind the others that can no longer be on time.
+func (d *dispatch) markLate(now time.Time) {
+	changed := false
+	for _, w := range d.waiting {
+		if !w.late && !now.Before(w.onTime) {
+			w.late, changed = true, true
+		}
+	}
+	if changed {
+		slices.SortStableFunc(d.waiting, compareWaiters)
+	}
+}
+
 // place finds a place for the request.
 func (d *dispatch) place(now time.Time, w *waiter) bool {
 	var ok bool
