intake, gateway, rank: parts of the bound by demand; quicker map changes

Each entry fills its own part of the bound on a group, by its part of the demand, so that entries with old counts of each other do not give the same place out. All priorities share one bound: with a smaller one for the less urgent, places above it went to urgent requests that were late already.

--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -4,8 +4,8 @@
 // The ranks of an expert-parallel group run in lock-step, so the time between
 // two events of any stream is the time of one pass of the whole group. An entry
 // learns that time from its own streams, and bounds the requests in the group
-// so that a pass stays within the routes' gap target. The bound is divided by
-// urgency: the more urgent a request, the more of the bound it may fill.
+// so that a pass stays within the routes' gap target. Which of the waiting
+// requests gets a free place is decided by who waits, not here.
 package intake
 
 import (
@@ -36,6 +36,14 @@
 	farLoad = 0.4
 	// loadNoise is the range of the random part of a server's load.
 	loadNoise = 1.0
+	// freePart is the part of the bound on a group below which an entry does not
+	// keep to its own part of it.
+	freePart = 0.6
+	// latePart is the part of the bound on a group that late requests may fill.
+	latePart = 0.9
+	// leastDemand in requests per second lets an entry without requests take its
+	// first ones.
+	leastDemand = 0.5
 	// plainQueue is how many requests per slot a plain service may hold. Its
 	// servers queue a few requests beyond their slots.
 	plainQueue = 2
@@ -54,6 +62,7 @@
 	servers map[ident.ServerID]*server
 	order   []*server
 	peers   map[ident.InstanceID]peerCounts
+	demand  rate
 	pace    pace
 	random  *rand.Rand
 }
@@ -70,6 +79,7 @@
 type peerCounts struct {
 	at      time.Time
 	running map[ident.ServerID]int
+	demand  float64
 }
 
 // New returns the intake of a service without servers.
@@ -135,9 +145,30 @@
 	}
 }
 
-// Heard takes what another entry has at the servers of the service.
-func (s *Service) Heard(now time.Time, from ident.InstanceID, running map[ident.ServerID]int) {
-	s.peers[from] = peerCounts{at: now, running: running}
+// Heard takes what another entry has at the servers of the service, and the rate
+// of requests that it gets.
+func (s *Service) Heard(now time.Time, from ident.InstanceID, running map[ident.ServerID]int, demand float64) {
+	s.peers[from] = peerCounts{at: now, running: running, demand: demand}
+}
+
+// Arrived counts a client's request.
+func (s *Service) Arrived(now time.Time) { s.demand.add(now) }
+
+// Demand is the rate of requests that this entry gets.
+func (s *Service) Demand(now time.Time) float64 { return s.demand.rate(now) }
+
+// share is this entry's part of the bound on a group: its part of the demand. Each
+// entry fills its own part, so that entries with old counts of each other do not
+// give the same place out together.
+func (s *Service) share(now time.Time) float64 {
+	own := s.demand.rate(now) + leastDemand
+	all := own
+	for _, p := range s.peers {
+		if now.Sub(p.at) <= peerMemory {
+			all += p.demand + leastDemand
+		}
+	}
+	return own / all
 }
 
 // Running returns what this entry has at each server.
@@ -164,22 +195,27 @@
 
 // State is what a decision to take or refuse a request was made from.
 type State struct {
-	// Running is the number of requests of all entries, Limit the bound for the
-	// request's urgency, and Usable the number of servers that take work.
+	// Running is the number of requests of all entries, Limit the bound for them,
+	// and Usable the number of servers that take work.
 	Running int
 	Limit   int
 	Usable  int
+	// Own is the number of requests of this entry, and Share its part of the bound.
+	Own   int
+	Share float64
 	// Gap is the estimated time of one pass.
 	Gap time.Duration
 }
 
-// Admit reports whether a request of the priority may go to the service now.
-func (s *Service) Admit(now time.Time, priority int, gapTarget time.Duration) (State, bool) {
+// Admit reports whether a request may go to the service now. A late one leaves
+// some places to those that can still be on time.
+func (s *Service) Admit(now time.Time, late bool, gapTarget time.Duration) (State, bool) {
 	state := State{Gap: s.pace.gap()}
 	slots := 0
 	for _, b := range s.order {
 		b.life.Tick(now)
 		state.Running += s.load(now, b)
+		state.Own += b.running
 		if b.usable() {
 			state.Usable++
 			slots += max(b.Slots, 1)
@@ -193,22 +229,11 @@
 		return state, state.Running < state.Limit
 	}
 	bound := float64(state.Usable) * s.pace.perServer(gapTarget)
-	state.Limit = int(bound * urgencyShare(priority))
-	return state, state.Running < state.Limit
-}
-
-// urgencyShare is the part of the bound that requests of a priority may fill. The
-// steps are small, since a class must not be served much less often than a less
-// urgent one, but need not be starved by a more urgent one either.
-func urgencyShare(priority int) float64 {
-	switch {
-	case priority <= 0:
-		return 1
-	case priority == 1:
-		return 0.92
-	default:
-		return 0.84
+	if late {
+		bound *= latePart
 	}
+	state.Limit, state.Share = int(bound), s.share(now)
+	return state, float64(state.Own) < state.Share*bound || float64(state.Running) < freePart*bound
 }
 
 // Pick chooses the server with the least work among those not yet tried.
--- a/internal/decide/intake/pace.go
+++ b/internal/decide/intake/pace.go
@@ -13,7 +13,7 @@
 	// gapMargin is the part of the gap target that the mean pass may take. One
 	// pause beyond the target makes a whole stream late, and passes that also
 	// prefill prompts take longer than the mean.
-	gapMargin = 0.72
+	gapMargin = 0.82
 	// firstSkew is how much longer than a balanced pass the first passes are taken
 	// to be, before any is measured: the first map assigns experts in turn.
 	firstSkew = 2.5
--- a/internal/decide/mapswitch/leader.go
+++ b/internal/decide/mapswitch/leader.go
@@ -16,7 +16,7 @@
 	// followed it.
 	resend = 60 * time.Millisecond
 	// beatInterval is the interval of beats while no change is under way.
-	beatInterval = 120 * time.Millisecond
+	beatInterval = 90 * time.Millisecond
 	// statusMemory is how long a status holds.
 	statusMemory = 1500 * time.Millisecond
 	// prepareLimit bounds the copies of a change, promiseLimit the time in which
@@ -30,7 +30,7 @@
 	// leadTime is how long before its pass a change is announced. The promises and
 	// the arms take up to 50 ms; a pass that has to wait for them delays every
 	// stream of the group.
-	leadTime = 120 * time.Millisecond
+	leadTime = 60 * time.Millisecond
 	// leastMargin and mostMargin bound the announcement in passes.
 	leastMargin = 2
 	mostMargin  = 4
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -232,14 +232,11 @@
 		c.spreadServers(ctx)
 	}
 	c.ticks++
-	work, ok := task.Ask(ctx, c.dispatch, func(reply chan<- []message.ServerWork) dispatchMessage { return askWork{reply: reply} })
+	m, ok := task.Ask(ctx, c.dispatch, func(reply chan<- *message.Work) dispatchMessage { return askWork{reply: reply} })
 	if !ok {
 		return
 	}
-	m := &message.Work{Servers: work}
-	if c.routes != nil {
-		m.Routes = c.routes.Version()
-	}
+	m.Routes = c.version()
 	for _, l := range c.onePerPeer() {
 		l.Send(m)
 		if c.ticks%rosterEvery == 0 {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -67,7 +67,7 @@
 	}
 	// askWork asks what this entry has at each server.
 	askWork struct {
-		reply chan<- []message.ServerWork
+		reply chan<- *message.Work
 	}
 )
 
@@ -164,7 +164,7 @@
 	case heardWork:
 		d.heard(now, m)
 	case askWork:
-		m.reply <- d.work()
+		m.reply <- d.work(now)
 	}
 }
 
@@ -189,6 +189,7 @@
 	}
 	a.service = d.split(route)
 	d.budgetOf(a.service).Request(now)
+	d.service(a.service).Arrived(now)
 	d.enqueue(now, m, a)
 }
 
@@ -306,17 +307,23 @@
 	for _, w := range m.work.Servers {
 		byServer[w.Server] = w.Running
 	}
-	for _, s := range d.services {
-		s.Heard(now, m.from, byServer)
+	demand := make(map[ident.ServiceName]float64, len(m.work.Demand))
+	for _, one := range m.work.Demand {
+		demand[one.Service] = one.PerSecond
+	}
+	for name, s := range d.services {
+		s.Heard(now, m.from, byServer, demand[name])
 	}
 }
 
-func (d *dispatch) work() []message.ServerWork {
-	var list []message.ServerWork
-	for _, s := range d.services {
+// work tells what this entry has at each server, and the demand it sees.
+func (d *dispatch) work(now time.Time) *message.Work {
+	w := new(message.Work)
+	for name, s := range d.services {
+		w.Demand = append(w.Demand, message.ServiceDemand{Service: name, PerSecond: s.Demand(now)})
 		for id, n := range s.Running() {
-			list = append(list, message.ServerWork{Server: id, Running: n})
+			w.Servers = append(w.Servers, message.ServerWork{Server: id, Running: n})
 		}
 	}
-	return list
+	return w
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -108,7 +108,7 @@
 // place finds a place for the request.
 func (d *dispatch) place(now time.Time, w *waiter) bool {
 	var ok bool
-	w.state, ok = d.service(w.service).Admit(now, w.priority, w.route.GapTarget)
+	w.state, ok = d.service(w.service).Admit(now, w.late, w.route.GapTarget)
 	if !ok {
 		return false
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -495,6 +495,15 @@
 	_       struct{} `cbor:",toarray"`
 	Routes  ident.Revision
 	Servers []ServerWork
+	// Demand is the requests per second that clients send to the sender lately.
+	Demand []ServiceDemand
+}
+
+// ServiceDemand is the rate of requests for a service.
+type ServiceDemand struct {
+	_         struct{} `cbor:",toarray"`
+	Service   ident.ServiceName
+	PerSecond float64
 }
 
 // Roster names the addresses for links at which the sender and the entries that
--- a/internal/rank/planner.go
+++ b/internal/rank/planner.go
@@ -25,7 +25,7 @@
 const (
 	// planInterval is the least time between two looks at the counts. In it a group
 	// under load makes several passes.
-	planInterval = 180 * time.Millisecond
+	planInterval = 120 * time.Millisecond
 	// fastKeep and slowKeep are the parts of the earlier shares that a new reading
 	// keeps. Popularity changes within seconds.
 	fastKeep = 0.4
@@ -38,7 +38,7 @@
 	// leastSkew and leastGain bound what is worth a change: copies are priced, an
 	// engine is slower by 0.15 while it copies, and the popularity of the next
 	// second differs from the measured one.
-	leastSkew = 1.25
+	leastSkew = 1.35
 	leastGain = 0.06
 	// maxCopies bounds the new experts of a rank in one change over all layer sets,
 	// and with them the time until the map is used: 0.11 s for each.
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -37,7 +37,7 @@
 	quietRead = 200 * time.Millisecond
 	busyRead  = 20 * time.Millisecond
 	// loadRead is the interval of reading what the requests chose.
-	loadInterval = 120 * time.Millisecond
+	loadInterval = 80 * time.Millisecond
 	// engineLimit bounds one call to the engine on the same machine.
 	engineLimit = 250 * time.Millisecond
 	// peerInterval is the interval of reading the list of backend servers.
