--- a/internal/rank/planner.go
+++ b/internal/rank/planner.go
@@ -38,7 +38,7 @@
 	// leastSkew and leastGain bound what is worth a change: copies are priced, an
 	// engine is slower by 0.15 while it copies, and the popularity of the next
 	// second differs from the measured one.
-	leastSkew = 1.35
+	leastSkew = 1.5
 	leastGain = 0.06
 	// maxCopies bounds the new experts of a rank in one change over all layer sets,
 	// and with them the time until the map is used: 0.11 s for each.
