--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/anvilpoint/anvilpoint/internal/call"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
@@ -110,6 +112,7 @@
 	keep := x.run()
 	if !stop() || !keep {
 		connection.close(time.Now())
+		x.writer.Wait()
 		return
 	}
 	if !c.Pool.mailbox.Send(ctx, give{server: r.Server, conn: connection}).Accepted() {
@@ -140,7 +143,8 @@
 	request Request
 	conn    *conn
 	emit    func(Event)
-	// written receives the result of writing a long request.
+	// writer writes a long request, and written receives the result.
+	writer  conc.WaitGroup
 	written chan error
 }
 
@@ -180,10 +184,10 @@
 	}
 	x.written = make(chan error, 1)
 	socket := x.conn.socket
-	go func() {
+	x.writer.Go(func() {
 		_, err := socket.Write(data)
 		x.written <- err
-	}()
+	})
 	return len(data), nil
 }
 
@@ -294,7 +298,7 @@
 	_, _ = w.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(w)
 	if r.HasBody {
-		_, _ = w.WriteString("Content-Length: " + itoa(len(r.Body)) + "\r\n")
+		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
 	_, _ = w.Write(r.Body)
--- /dev/null
+++ b/internal/upstream/attempt_test.go
@@ -0,0 +1,309 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/call"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/upstream"
+	"github.com/anvilpoint/anvilpoint/task"
+)
+
+// headers is a protocol with names of its own, since upstream knows none.
+type headers struct{}
+
+func (headers) Request(http.Header) call.Meta                      { return call.Meta{} }
+func (headers) Forward(h http.Header, _ call.Forward) http.Header  { return h }
+func (headers) Deliver(_, _ http.Header)                           {}
+func (headers) Refuse(http.Header, ident.RequestID, time.Duration) {}
+func (headers) Answer(status int, h http.Header) call.Head {
+	return call.Head{Status: status, RequestID: ident.RequestID(h.Get("Id")), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// fixture is a backend server that answers each connection by a script.
+type fixture struct {
+	t        *testing.T
+	caller   *upstream.Caller
+	address  string
+	accepted chan net.Conn
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	group := task.NewGroup(context.Background())
+	f := &fixture{t: t, address: l.Addr().String(), accepted: make(chan net.Conn, 8)}
+	group.Go("accept", func(context.Context) error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			f.accepted <- c
+		}
+	})
+	pool := upstream.NewPool()
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Go("pool", func(context.Context) error { return pool.Run(ctx) })
+	f.caller = &upstream.Caller{Pool: pool, Protocol: headers{}, Dial: upstream.Dial}
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		must.NoError(t, group.Stop(5*time.Second))
+	})
+	return f
+}
+
+// server reads one request from a connection and writes the bytes.
+type server struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (f *fixture) accept() *server {
+	c := <-f.accepted
+	return &server{conn: c, reader: bufio.NewReader(c)}
+}
+
+func (s *server) read(t *testing.T) *http.Request {
+	t.Helper()
+	r, err := http.ReadRequest(s.reader)
+	must.NoError(t, err)
+	body, err := io.ReadAll(r.Body)
+	must.NoError(t, err)
+	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	return r
+}
+
+func (s *server) write(text string) { _, _ = io.WriteString(s.conn, text) }
+
+// reset closes the connection so that the peer sees a reset.
+func (s *server) reset() {
+	_ = s.conn.(*net.TCPConn).SetLinger(0)
+	_ = s.conn.Close()
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// start runs an attempt and returns its events.
+func (f *fixture) start(ctx context.Context, r upstream.Request) <-chan upstream.Event {
+	events := make(chan upstream.Event, 64)
+	r.Server, r.Address, r.Host = "s", f.address, "host.example"
+	if r.Method == "" {
+		r.Method = http.MethodPost
+	}
+	if r.Target == "" {
+		r.Target = "/a/"
+	}
+	go func() {
+		defer close(events)
+		f.caller.Run(ctx, r, func(e upstream.Event) { events <- e })
+	}()
+	return events
+}
+
+func collect(events <-chan upstream.Event) []upstream.Event {
+	var list []upstream.Event
+	for e := range events {
+		list = append(list, e)
+	}
+	return list
+}
+
+func (f *fixture) one(r upstream.Request, serve func(*server)) upstream.Event {
+	f.t.Helper()
+	events := f.start(context.Background(), r)
+	serve(f.accept())
+	list := collect(events)
+	must.SliceNotEmpty(f.t, list)
+	return list[len(list)-1]
+}
+
+// Guards against a library that cleans the target or the host, or adds headers.
+func TestRequestArrivesUnchanged(t *testing.T) {
+	f := newFixture(t)
+	r := upstream.Request{ID: "1", Target: "//a/../b%2Fc/?x=%41&x", Header: http.Header{"X-Own": {"v"}}, Body: []byte("body"), HasBody: true}
+	var seen *http.Request
+	f.one(r, func(s *server) {
+		seen = s.read(t)
+		s.write(answer("1", "ok"))
+	})
+	must.Eq(t, "//a/../b%2Fc/?x=%41&x", seen.RequestURI)
+	must.Eq(t, "host.example", seen.Host)
+	must.Eq(t, http.Header{"X-Own": {"v"}, "Content-Length": {"4"}}, seen.Header)
+	body, err := io.ReadAll(seen.Body)
+	must.NoError(t, err)
+	must.Eq(t, "body", string(body))
+}
+
+// Guards against a request that is sent again on a new connection when a kept one
+// ends without an answer: the request may have run.
+func TestRequestIsWrittenOnce(t *testing.T) {
+	f := newFixture(t)
+	events := f.start(context.Background(), upstream.Request{ID: "1"})
+	s := f.accept()
+	s.read(t)
+	s.write(answer("1", "ok"))
+	collect(events)
+	events = f.start(context.Background(), upstream.Request{ID: "2", Method: http.MethodGet})
+	s.read(t)
+	s.reset()
+	list := collect(events)
+	must.SliceLen(t, 1, list)
+	_, broken := list[0].(upstream.Broken)
+	must.True(t, broken)
+	must.Eq(t, 0, len(f.accepted))
+}
+
+// Guards against an answer to an earlier request that is given to this one, and
+// against giving up the answer that follows it.
+func TestStrayAnswerIsSkipped(t *testing.T) {
+	f := newFixture(t)
+	e := f.one(upstream.Request{ID: "2"}, func(s *server) {
+		s.read(t)
+		s.write(answer("1", "other") + answer("2", "own"))
+	})
+	must.Eq(t, "own", string(e.(upstream.Answered).Body))
+}
+
+// Guards against bytes that are no answer, or one without an id, being passed on.
+func TestGarbledAnswersAreBroken(t *testing.T) {
+	for _, text := range []string{"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok", answer("1", "a") + answer("3", "b") + answer("4", "c")} {
+		f := newFixture(t)
+		e := f.one(upstream.Request{ID: "2"}, func(s *server) {
+			s.read(t)
+			s.write(text)
+			_ = s.conn.Close()
+		})
+		broken, ok := e.(upstream.Broken)
+		must.True(t, ok, must.Sprint(text))
+		must.True(t, broken.Garbled, must.Sprint(text))
+	}
+}
+
+// Guards against a truncated answer that looks whole: short of its length, cut
+// within chunks, or without a length and reset.
+func TestTruncatedAnswersAreBroken(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nContent-Length: 10\r\n\r\nabc",
+		"chunks": "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"reset":  "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\nabc",
+	} {
+		f := newFixture(t)
+		e := f.one(upstream.Request{ID: "1"}, func(s *server) {
+			s.read(t)
+			s.write(text)
+			time.Sleep(10 * time.Millisecond)
+			s.reset()
+		})
+		_, ok := e.(upstream.Broken)
+		must.True(t, ok, must.Sprint(name))
+	}
+}
+
+// Guards against refusing an answer whose end is the end of its connection.
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	f := newFixture(t)
+	e := f.one(upstream.Request{ID: "1"}, func(s *server) {
+		s.read(t)
+		s.write("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\nabc")
+		_ = s.conn.Close()
+	})
+	must.Eq(t, "abc", string(e.(upstream.Answered).Body))
+}
+
+// Guards against the reuse of a connection on which bytes follow an answer: they
+// would be read as the answer to the next request.
+func TestConnectionWithExtraBytesIsNotReused(t *testing.T) {
+	f := newFixture(t)
+	f.one(upstream.Request{ID: "1"}, func(s *server) {
+		s.read(t)
+		s.write(answer("1", "ok") + "HTTP/1.1 200 OK\r\n")
+	})
+	e := f.one(upstream.Request{ID: "2"}, func(s *server) {
+		s.read(t)
+		s.write(answer("2", "new connection"))
+	})
+	must.Eq(t, "new connection", string(e.(upstream.Answered).Body))
+}
+
+// Guards against the reuse of a connection whose server has not read the whole
+// body yet: the next request would be read as the rest of it.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	f := newFixture(t)
+	body := []byte(strings.Repeat("x", 8<<20))
+	e := f.one(upstream.Request{ID: "1", Body: body, HasBody: true}, func(s *server) {
+		_, err := s.reader.ReadString('\n')
+		must.NoError(t, err)
+		s.write("HTTP/1.1 413 Too Large\r\nId: 1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n")
+	})
+	must.Eq(t, 413, e.(upstream.Answered).Head.Status)
+	e = f.one(upstream.Request{ID: "2"}, func(s *server) {
+		s.read(t)
+		s.write(answer("2", "new connection"))
+	})
+	must.Eq(t, "new connection", string(e.(upstream.Answered).Body))
+}
+
+// Guards against a stream that ends within an event and looks whole, and against
+// events that are passed on before they are whole.
+func TestStreamPassesWholeEventsOnly(t *testing.T) {
+	f := newFixture(t)
+	events := f.start(context.Background(), upstream.Request{ID: "1", Stream: true})
+	s := f.accept()
+	s.read(t)
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	s.write("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+	s.write(chunk("id: 1\ndata: a\n\nid: 2\nda") + chunk("ta: b\n\nid: 3\nda") + "0\r\n\r\n")
+	list := collect(events)
+	var raw []string
+	for _, e := range list {
+		if p, ok := e.(upstream.Pieces); ok {
+			for _, one := range p.Events {
+				raw = append(raw, string(one.Raw))
+			}
+		}
+	}
+	must.Eq(t, []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, raw)
+	_, broken := list[len(list)-1].(upstream.Broken)
+	must.True(t, broken)
+}
+
+// Guards against work that goes on for a client that has left: the connection
+// must end at once.
+func TestCancelClosesTheConnection(t *testing.T) {
+	f := newFixture(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	events := f.start(ctx, upstream.Request{ID: "1"})
+	s := f.accept()
+	s.read(t)
+	cancel()
+	_, err := s.reader.ReadByte()
+	must.Error(t, err)
+	collect(events)
+}
+
+// Guards against a connection failure that counts as a request that may have run.
+func TestRefusedConnectionIsUnsent(t *testing.T) {
+	f := newFixture(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	f.address = l.Addr().String()
+	must.NoError(t, l.Close())
+	list := collect(f.start(context.Background(), upstream.Request{ID: "1"}))
+	_, unsent := list[0].(upstream.Unsent)
+	must.True(t, unsent)
+}
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -5,8 +5,6 @@
 	"strconv"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // StreamEvent is one whole event of a stream with its end.
 type StreamEvent struct {
 	// ID is the event's number; HasID is false for an event without one.
