intake: let servers that failed lately take work if there is no other

Cause: admission counted usable servers only, while the choice of a server has a last resort; with all three replicas of a plain service failing now and then, requests were refused for a second. Found by TestAtMostOnceCallIsNotRepeated.

--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/chart"
@@ -213,13 +214,12 @@
 	state := State{Gap: s.pace.gap()}
 	slots := 0
 	for _, b := range s.order {
-		b.life.Tick(now)
 		state.Running += s.load(now, b)
 		state.Own += b.running
-		if b.usable() {
-			state.Usable++
-			slots += max(b.Slots, 1)
-		}
+	}
+	for _, b := range s.candidates(now, nil) {
+		state.Usable++
+		slots += max(b.Slots, 1)
 	}
 	if state.Usable == 0 {
 		return state, false
@@ -240,30 +240,36 @@
 func (s *Service) Pick(now time.Time, tried []ident.ServerID) (registry.Server, bool) {
 	var best *server
 	lowest := 0.0
-	for _, doubtful := range []bool{false, true} {
-		for _, b := range s.order {
-			b.life.Tick(now)
-			if contains(tried, b.ID) || !b.takes(doubtful) {
-				continue
-			}
-			if score := s.score(now, b); best == nil || score < lowest {
-				best, lowest = b, score
-			}
-		}
-		if best != nil {
-			return best.Server, true
+	for _, b := range s.candidates(now, tried) {
+		if score := s.score(now, b); best == nil || score < lowest {
+			best, lowest = b, score
 		}
 	}
-	return registry.Server{}, false
+	if best == nil {
+		return registry.Server{}, false
+	}
+	return best.Server, true
 }
 
-func contains(list []ident.ServerID, id ident.ServerID) bool {
-	for _, one := range list {
-		if one == id {
-			return true
+// candidates returns the servers that may get work, without those that a request
+// has tried. If all that are left failed lately, they are taken all the same: the
+// fault may lie elsewhere, and a doubtful server is better than none.
+func (s *Service) candidates(now time.Time, tried []ident.ServerID) []*server {
+	var usable, doubtful []*server
+	for _, b := range s.order {
+		b.life.Tick(now)
+		switch {
+		case slices.Contains(tried, b.ID) || !b.life.In("eligible"):
+		case b.usable():
+			usable = append(usable, b)
+		default:
+			doubtful = append(doubtful, b)
 		}
 	}
-	return false
+	if len(usable) == 0 {
+		return doubtful
+	}
+	return usable
 }
 
 // usable reports whether the server may get work. A trial is one request at a time.
@@ -274,15 +280,6 @@
 	return !b.life.In("trial") || b.running == 0
 }
 
-// takes is the same as usable, or, as a last resort, lets a server that failed
-// lately take work: the fault may lie elsewhere.
-func (b *server) takes(doubtful bool) bool {
-	if doubtful {
-		return b.life.In("eligible")
-	}
-	return b.usable()
-}
-
 func (s *Service) score(now time.Time, b *server) float64 {
 	// The counts of other entries are up to 0.15 s old. Without the random part all
 	// entries would choose the same server meanwhile.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,9 +49,11 @@
 	return l.Addr().String()
 }
 
-// newWorld starts an entry whose store holds the routes and the replicas.
+// newWorld starts an entry whose store holds the routes and the replicas. The test
+// runs beside others, since each ends with a stop that takes seconds.
 func newWorld(t *testing.T, replicas ...*platformtest.Replica) *world {
 	t.Helper()
+	t.Parallel()
 	w := &world{t: t, store: platformtest.NewStore(t), ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
 	w.store.Put(platform.ConfigurationKey, platformtest.Document(1, service))
 	for _, r := range replicas {
