--- a/internal/decide/mapswitch/leader.go
+++ b/internal/decide/mapswitch/leader.go
@@ -27,6 +27,9 @@
 	// leader orders its engine itself. All streams of the group wait meanwhile, and
 	// a healthy process needs about a tenth of it.
 	assistAfter = 100 * time.Millisecond
+	// assistAgain is the time between two orders of the leader to an engine that
+	// does not answer: its machine may be frozen as well.
+	assistAgain = 300 * time.Millisecond
 	// leadTime is how long before its pass a change is announced. The promises and
 	// the arms take up to 50 ms; a pass that has to wait for them delays every
 	// stream of the group.
@@ -71,6 +74,8 @@
 	done bool
 	// armed says that the leader has armed the rank's engine.
 	armed bool
+	// asked is when the leader last ordered the rank's engine.
+	asked time.Time
 }
 
 var leaderMachine = chart.MustBind(charts.Must("map-leader"), chart.Binding[*Leader]{
@@ -89,7 +94,7 @@
 	Observe: func(l *Leader, t chart.Transition) {
 		l.sent, l.decided = time.Time{}, l.now
 		for i := range l.ranks {
-			l.ranks[i].done, l.ranks[i].armed = false, false
+			l.ranks[i].done, l.ranks[i].armed, l.ranks[i].asked = false, false, time.Time{}
 		}
 		if t.From != t.To {
 			l.actions = append(l.actions, Notice{Name: "map.leader-" + t.To, Version: l.version, Step: l.step, Detail: "from " + t.From + " on " + t.Event})
@@ -207,9 +212,10 @@
 	for i, r := range l.ranks {
 		// A rank may have held its engine without having told so. Releasing an engine
 		// that is not held changes nothing.
-		if r.done || r.status.Phase == Idle || r.status.Server == "" || l.step == 0 {
+		if r.done || r.status.Phase == Idle || r.status.Server == "" || l.step == 0 || l.now.Sub(r.asked) < assistAgain {
 			continue
 		}
+		l.ranks[i].asked = l.now
 		o := Order{Kind: OrderGo, Epoch: l.epoch, Version: l.version, Step: l.step}
 		if committing && !r.armed {
 			o.Kind = OrderArm
@@ -227,7 +233,7 @@
 	r := &l.ranks[rank]
 	switch o.Kind {
 	case OrderArm:
-		r.armed = l.life.In("committing")
+		r.armed, r.asked = l.life.In("committing"), time.Time{}
 		l.assist()
 	case OrderGo:
 		r.done = true
