--- /dev/null
+++ b/internal/decide/intake/intake_test.go
@@ -0,0 +1,145 @@
+package intake_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/intake"
+	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+)
+
+const gapTarget = 120 * time.Millisecond
+
+var start = time.Unix(1000, 0)
+
+func engine() *record.EngineModel {
+	return &record.EngineModel{Slots: 12, Stride: 4, Step: 4550 * time.Microsecond, PerSequence: 905 * time.Microsecond}
+}
+
+func newService(e *record.EngineModel, servers int) *intake.Service {
+	s := intake.New(intake.Config{Domain: "z", Engine: e}, rand.New(rand.NewPCG(1, 2)))
+	var list []registry.Server
+	for n := range servers {
+		list = append(list, registry.Server{ID: ident.ServerID(fmt.Sprint(n)), Domain: "z", Slots: 6})
+	}
+	s.SetServers(start, list)
+	return s
+}
+
+// fill admits requests until one is refused, and returns their number.
+func fill(s *intake.Service, late bool) int {
+	for n := 0; ; n++ {
+		if _, ok := s.Admit(start, late, gapTarget); !ok {
+			return n
+		}
+		server, _ := s.Pick(start, nil)
+		s.Started(server.ID)
+	}
+}
+
+// Guards against a bound that ignores how long passes take: slow passes must leave
+// fewer requests in the group.
+func TestBoundFollowsTheTimeOfAPass(t *testing.T) {
+	counts := make(map[time.Duration]int)
+	for _, gap := range []time.Duration{45 * time.Millisecond, 110 * time.Millisecond} {
+		s := newService(engine(), 16)
+		for n := range 80 {
+			s.Started(ident.ServerID(fmt.Sprint(n % 16)))
+		}
+		for range 200 {
+			s.Paced(start, gap)
+		}
+		for n := range 80 {
+			s.Ended(start, ident.ServerID(fmt.Sprint(n%16)), false)
+		}
+		counts[gap] = fill(s, false)
+	}
+	t.Logf("places by gap: %v", counts)
+	must.Greater(t, counts[110*time.Millisecond], counts[45*time.Millisecond])
+	must.Less(t, 16*12+1, counts[45*time.Millisecond])
+}
+
+// Guards against entries that give the same places out together: with equal demand
+// at two entries, each fills about a half of the bound.
+func TestEntriesShareTheBoundByDemand(t *testing.T) {
+	alone := fill(newService(engine(), 16), false)
+	s := newService(engine(), 16)
+	for range 20 {
+		s.Arrived(start)
+	}
+	other := make(map[ident.ServerID]int)
+	for n := range 16 {
+		other[ident.ServerID(fmt.Sprint(n))] = alone / 16
+	}
+	s.Heard(start, "other", other, s.Demand(start))
+	own := fill(s, false)
+	t.Logf("alone %d, beside a full entry %d", alone, own)
+	must.Between(t, alone*4/10, own, alone*6/10)
+}
+
+// Guards against counts of an entry that is gone which take places for ever.
+func TestCountsOfASilentEntryAreForgotten(t *testing.T) {
+	s := newService(engine(), 16)
+	s.Heard(start.Add(-2*time.Second), "gone", map[ident.ServerID]int{"0": 500}, 100)
+	state, ok := s.Admit(start, false, gapTarget)
+	must.True(t, ok)
+	must.Eq(t, 0, state.Running)
+}
+
+// Guards against late requests that take the places of those that can be on time.
+func TestLateRequestsLeavePlaces(t *testing.T) {
+	must.Less(t, fill(newService(engine(), 16), false), fill(newService(engine(), 16), true))
+}
+
+// Guards against work for a server that leaves, that the request has tried, or that
+// has failed while others have not.
+func TestPickAvoidsUnfitServers(t *testing.T) {
+	s := newService(nil, 3)
+	s.Leave(start, "0")
+	for range 3 {
+		s.Ended(start, "1", true)
+	}
+	for range 20 {
+		server, ok := s.Pick(start, nil)
+		must.True(t, ok)
+		must.Eq(t, "2", server.ID)
+	}
+	// A server that failed is better than none, a leaving one is not.
+	server, ok := s.Pick(start, []ident.ServerID{"2"})
+	must.True(t, ok)
+	must.Eq(t, "1", server.ID)
+	_, ok = s.Pick(start, []ident.ServerID{"1", "2"})
+	must.False(t, ok)
+}
+
+// Guards against requests that gather at one server.
+func TestPickSpreadsRequests(t *testing.T) {
+	s := newService(engine(), 16)
+	counts := make(map[ident.ServerID]int)
+	for range 160 {
+		server, _ := s.Pick(start, nil)
+		s.Started(server.ID)
+		counts[server.ID]++
+	}
+	for _, n := range counts {
+		must.Between(t, 9, n, 11)
+	}
+}
+
+// Guards against a server that starts again under its id and inherits what was
+// known of its predecessor.
+func TestNewStartIsANewServer(t *testing.T) {
+	s := newService(nil, 1)
+	s.Leave(start, "0")
+	_, ok := s.Pick(start, nil)
+	must.False(t, ok)
+	s.SetServers(start, []registry.Server{{ID: "0", Domain: "z", Started: start}})
+	_, ok = s.Pick(start, nil)
+	must.True(t, ok)
+}
--- a/internal/decide/routing/budget.go
+++ b/internal/decide/routing/budget.go
@@ -35,7 +35,8 @@
 	Window time.Duration
 }
 
-// budgetCells is how many parts the window is counted in.
+// budgetCells is how many parts the window is counted in. One more part is kept, so
+// that the parts in which retries are counted always cover the window.
 const budgetCells = 10
 
 // WindowBudget counts requests and retries over a sliding window.
@@ -44,7 +45,7 @@
 	// origin is when counting began. Cells are numbered from it, since the time of
 	// day may jump.
 	origin time.Time
-	cells  [budgetCells]budgetCell
+	cells  [budgetCells + 1]budgetCell
 }
 
 type budgetCell struct {
@@ -61,7 +62,7 @@
 		b.origin = now
 	}
 	number := int64(now.Sub(b.origin)/(b.config.Window/budgetCells)) + 1
-	c := &b.cells[number%budgetCells]
+	c := &b.cells[number%(budgetCells+1)]
 	if c.number != number {
 		*c = budgetCell{number: number}
 	}
@@ -78,6 +79,8 @@
 	for _, one := range b.cells {
 		if c.number-one.number < budgetCells {
 			requests += one.requests
+		}
+		if c.number-one.number <= budgetCells {
 			retries += one.retries
 		}
 	}
