intake, gateway, mapswitch: three standings of waiting requests; longer lead under late orders

A request that came back after a refusal gets a place before one that only became late: its client does not ask again, and a second refusal costs most. Both leave some places to requests that can be on time. The leader no longer plans while the last map is armed and not in use.

--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -40,8 +40,11 @@
 	// freePart is the part of the bound on a group below which an entry does not
 	// keep to its own part of it.
 	freePart = 0.6
-	// latePart is the part of the bound on a group that late requests may fill.
-	latePart = 0.9
+	// latePart is the part of the bound on a group that requests may fill which can
+	// no longer be on time, and returnedPart the part for those that came back after
+	// a refusal and will not come again.
+	latePart     = 0.85
+	returnedPart = 0.95
 	// leastDemand in requests per second lets an entry without requests take its
 	// first ones.
 	leastDemand = 0.5
@@ -208,9 +211,34 @@
 	Gap time.Duration
 }
 
-// Admit reports whether a request may go to the service now. A late one leaves
-// some places to those that can still be on time.
-func (s *Service) Admit(now time.Time, late bool, gapTarget time.Duration) (State, bool) {
+// Standing is what a request's delay so far means for its worth.
+type Standing int
+
+// The standings, in the order in which requests get places.
+const (
+	// OnTime requests can still be answered within the latency objective.
+	OnTime Standing = iota
+	// Returned requests came back after a refusal, and are late.
+	Returned
+	// Late requests have waited too long to be on time.
+	Late
+)
+
+// part is the part of the bound on a group that requests of the standing may fill.
+func (s Standing) part() float64 {
+	switch s {
+	case OnTime:
+		return 1
+	case Returned:
+		return returnedPart
+	default:
+		return latePart
+	}
+}
+
+// Admit reports whether a request may go to the service now. One that is late
+// leaves some places to those that can still be on time.
+func (s *Service) Admit(now time.Time, standing Standing, gapTarget time.Duration) (State, bool) {
 	state := State{Gap: s.pace.gap()}
 	slots := 0
 	for _, b := range s.order {
@@ -228,10 +256,7 @@
 		state.Limit = plainQueue * slots
 		return state, state.Running < state.Limit
 	}
-	bound := float64(state.Usable) * s.pace.perServer(gapTarget)
-	if late {
-		bound *= latePart
-	}
+	bound := float64(state.Usable) * s.pace.perServer(gapTarget) * standing.part()
 	state.Limit, state.Share = int(bound), s.share(now)
 	return state, float64(state.Own) < state.Share*bound || float64(state.Running) < freePart*bound
 }
--- a/internal/decide/intake/intake_test.go
+++ b/internal/decide/intake/intake_test.go
@@ -33,9 +33,9 @@
 }
 
 // fill admits requests until one is refused, and returns their number.
-func fill(s *intake.Service, late bool) int {
+func fill(s *intake.Service, standing intake.Standing) int {
 	for n := 0; ; n++ {
-		if _, ok := s.Admit(start, late, gapTarget); !ok {
+		if _, ok := s.Admit(start, standing, gapTarget); !ok {
 			return n
 		}
 		server, _ := s.Pick(start, nil)
@@ -58,7 +58,7 @@
 		for n := range 80 {
 			s.Ended(start, ident.ServerID(fmt.Sprint(n%16)), false)
 		}
-		counts[gap] = fill(s, false)
+		counts[gap] = fill(s, intake.OnTime)
 	}
 	t.Logf("places by gap: %v", counts)
 	must.Greater(t, counts[110*time.Millisecond], counts[45*time.Millisecond])
@@ -68,7 +68,7 @@
 // Guards against entries that give the same places out together: with equal demand
 // at two entries, each fills about a half of the bound.
 func TestEntriesShareTheBoundByDemand(t *testing.T) {
-	alone := fill(newService(engine(), 16), false)
+	alone := fill(newService(engine(), 16), intake.OnTime)
 	s := newService(engine(), 16)
 	for range 20 {
 		s.Arrived(start)
@@ -78,7 +78,7 @@
 		other[ident.ServerID(fmt.Sprint(n))] = alone / 16
 	}
 	s.Heard(start, "other", other, s.Demand(start))
-	own := fill(s, false)
+	own := fill(s, intake.OnTime)
 	t.Logf("alone %d, beside a full entry %d", alone, own)
 	must.Between(t, alone*4/10, own, alone*6/10)
 }
@@ -87,14 +87,14 @@
 func TestCountsOfASilentEntryAreForgotten(t *testing.T) {
 	s := newService(engine(), 16)
 	s.Heard(start.Add(-2*time.Second), "gone", map[ident.ServerID]int{"0": 500}, 100)
-	state, ok := s.Admit(start, false, gapTarget)
+	state, ok := s.Admit(start, intake.OnTime, gapTarget)
 	must.True(t, ok)
 	must.Eq(t, 0, state.Running)
 }
 
 // Guards against late requests that take the places of those that can be on time.
 func TestLateRequestsLeavePlaces(t *testing.T) {
-	must.Less(t, fill(newService(engine(), 16), false), fill(newService(engine(), 16), true))
+	must.Less(t, fill(newService(engine(), 16), intake.OnTime), fill(newService(engine(), 16), intake.Late))
 }
 
 // Guards against work for a server that leaves, that the request has tried, or that
--- a/internal/decide/mapswitch/leader.go
+++ b/internal/decide/mapswitch/leader.go
@@ -34,9 +34,11 @@
 	// the arms take up to 50 ms; a pass that has to wait for them delays every
 	// stream of the group.
 	leadTime = 60 * time.Millisecond
+	// longLeadTime holds while orders stay unanswered and have to be repeated.
+	longLeadTime = 300 * time.Millisecond
 	// leastMargin and mostMargin bound the announcement in passes.
 	leastMargin = 2
-	mostMargin  = 4
+	mostMargin  = 8
 	// passGain is the weight of one observation of the time of a pass.
 	passGain = 0.3
 	// mostPasses leaves out observations over a gap, as after a lost connection.
@@ -149,11 +151,16 @@
 	return l.take()
 }
 
-// Propose starts a change to the map. It is ignored unless the leader watches
-// and the last change is in use, since an armed engine prepares nothing.
+// Ready reports whether a change can be started: none is under way and the last
+// one is in use, since an armed engine prepares nothing.
+func (l *Leader) Ready() bool {
+	return l.Watching() && !l.some(func(s Status) bool { return s.Armed != 0 })
+}
+
+// Propose starts a change to the map. It is ignored unless the leader is ready.
 func (l *Leader) Propose(now time.Time, m placement.Map) []Action {
 	l.now = now
-	if !l.Watching() || l.some(func(s Status) bool { return s.Armed != 0 }) {
+	if !l.Ready() {
 		return l.take()
 	}
 	highest := l.version
@@ -329,7 +336,11 @@
 	if l.passTime <= 0 {
 		return mostMargin
 	}
-	passes := 1 + (leadTime+l.passTime-1)/l.passTime
+	lead := leadTime
+	if l.some(func(s Status) bool { return s.Unanswered }) {
+		lead = longLeadTime
+	}
+	passes := 1 + (lead+l.passTime-1)/l.passTime
 	return uint64(min(max(passes, leastMargin), mostMargin))
 }
 
--- a/internal/decide/mapswitch/message.go
+++ b/internal/decide/mapswitch/message.go
@@ -115,6 +115,8 @@
 	Server string `cbor:"14,keyasint,omitempty"`
 	// Pace is the rank's time for the same work relative to a healthy rank's.
 	Pace float64 `cbor:"15,keyasint,omitempty"`
+	// Unanswered says that orders to the engine stayed unanswered lately.
+	Unanswered bool `cbor:"16,keyasint,omitempty"`
 	// Experts are the rank's experts by layer set, and Counts how often its
 	// requests chose each expert since the engine's start, one layer set after the
 	// other.
--- a/internal/decide/mapswitch/rank.go
+++ b/internal/decide/mapswitch/rank.go
@@ -12,7 +12,11 @@
 
 // orderLimit is how long an order may take before it is given again. An engine
 // on the same machine answers within a few milliseconds.
-const orderLimit = 80 * time.Millisecond
+const orderLimit = 40 * time.Millisecond
+
+// unansweredMemory is how long a rank tells that orders stay unanswered. It spans
+// several changes.
+const unansweredMemory = 5 * time.Second
 
 // Rank carries out changes at one engine. One task owns it.
 type Rank struct {
@@ -32,7 +36,9 @@
 	confirmed bool
 	// committed says that all ranks have promised the change.
 	committed bool
-	actions   []Action
+	// unanswered is when an order last stayed unanswered.
+	unanswered time.Time
+	actions    []Action
 }
 
 // rankMachine is immutable after its binding.
@@ -181,6 +187,9 @@
 // Answered takes the end of an order.
 func (r *Rank) Answered(now time.Time, o Order, result Result) []Action {
 	r.now = now
+	if result == Unanswered {
+		r.unanswered = now
+	}
 	if o.Epoch != r.state.Epoch || result == Unanswered {
 		return r.take()
 	}
@@ -251,5 +260,6 @@
 		Leader: r.leader, Group: r.state.Group, Epoch: r.state.Epoch, Rank: r.state.Rank, Phase: r.Phase(),
 		Version: r.version, Step: r.step, Begun: r.state.Step, Map: r.state.Map, Highest: r.highest,
 		Armed: r.state.Armed, Pace: r.state.Pace,
+		Unanswered: !r.unanswered.IsZero() && r.now.Sub(r.unanswered) < unansweredMemory,
 	}
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/anvilpoint/anvilpoint/internal/decide/intake"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 )
 
@@ -17,6 +18,8 @@
 	// lateWaitPart is the part of the time left that a request waits in all. After
 	// the first part it is late, and gets a place when none that is on time waits.
 	lateWaitPart = 0.15
+	// returnedWaitPart is the same for a request that came back after a refusal.
+	returnedWaitPart = 0.3
 	// backAfter tells a client that comes back from one that comes first: it has
 	// less time left than the route allows.
 	backAfter = 50 * time.Millisecond
@@ -33,10 +36,9 @@
 	arrived time.Time
 	// onTime is until when a place makes the request's answer on time, and until
 	// when it waits at all.
-	onTime time.Time
-	until  time.Time
-	// late says that onTime has passed.
-	late bool
+	onTime   time.Time
+	until    time.Time
+	standing intake.Standing
 }
 
 // enqueue lets the request wait, at least until the next look.
@@ -46,7 +48,10 @@
 	w.onTime = now.Add(time.Duration(onTimePart * float64(a.route.Target)))
 	w.until = now.Add(time.Duration(lateWaitPart * float64(limit)))
 	// A client that comes back after a refusal has used up its objective.
-	w.late = a.route.TimeLimit > 0 && limit < a.route.TimeLimit-backAfter
+	if a.route.TimeLimit > 0 && limit < a.route.TimeLimit-backAfter {
+		w.standing = intake.Returned
+		w.until = now.Add(time.Duration(returnedWaitPart * float64(limit)))
+	}
 	at, _ := slices.BinarySearchFunc(d.waiting, w, compareWaiters)
 	d.waiting = slices.Insert(d.waiting, at, w)
 	if len(d.waiting) > maxWaiting {
@@ -60,11 +65,8 @@
 // urgent, then those that came earlier.
 func compareWaiters(a, b *waiter) int {
 	switch {
-	case a.late != b.late:
-		if b.late {
-			return -1
-		}
-		return 1
+	case a.standing != b.standing:
+		return int(a.standing) - int(b.standing)
 	case a.priority != b.priority:
 		return a.priority - b.priority
 	default:
@@ -96,8 +98,8 @@
 func (d *dispatch) markLate(now time.Time) {
 	changed := false
 	for _, w := range d.waiting {
-		if !w.late && !now.Before(w.onTime) {
-			w.late, changed = true, true
+		if w.standing == intake.OnTime && !now.Before(w.onTime) {
+			w.standing, changed = intake.Late, true
 		}
 	}
 	if changed {
@@ -108,7 +110,7 @@
 // place finds a place for the request.
 func (d *dispatch) place(now time.Time, w *waiter) bool {
 	var ok bool
-	w.state, ok = d.service(w.service).Admit(now, w.late, w.route.GapTarget)
+	w.state, ok = d.service(w.service).Admit(now, w.standing, w.route.GapTarget)
 	if !ok {
 		return false
 	}
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -143,7 +143,7 @@
 	}
 	a.carryOut(ctx, now, a.leader.Lead(now, s.Group, s.Epoch, s.Size))
 	a.carryOut(ctx, now, a.leader.Tick(now))
-	if !a.leader.Watching() {
+	if !a.leader.Ready() {
 		return
 	}
 	if plan, ok := a.planner.plan(now, s.Epoch, a.leader.Statuses()); ok {
