rank, timeline: map changes as events; read the experts only after a change

The steps of a map change are events now, so that the time line shows one over all processes; the time line leaves out text that a log collector puts before a line.

--- /dev/null
+++ b/internal/message/hosted.go
@@ -0,0 +1,55 @@
+package message
+
+import "github.com/anvilpoint/anvilpoint/internal/ident"
+
+// ServerWork is the number of requests that an entry has at a backend server.
+type ServerWork struct {
+	_       struct{} `cbor:",toarray"`
+	Server  ident.ServerID
+	Running int
+}
+
+// Work tells other entries what the sender has at the backend servers that it
+// calls itself, and which routes it has in force.
+type Work struct {
+	_       struct{} `cbor:",toarray"`
+	Routes  ident.Revision
+	Servers []ServerWork
+	// Demand is the requests per second that clients send to the sender lately.
+	Demand []ServiceDemand
+}
+
+// ServiceDemand is the rate of requests for a service.
+type ServiceDemand struct {
+	_         struct{} `cbor:",toarray"`
+	Service   ident.ServiceName
+	PerSecond float64
+}
+
+// Roster names the addresses for links at which the sender and the entries that
+// it is linked with can be reached. Own is the sender's.
+type Roster struct {
+	_         struct{} `cbor:",toarray"`
+	Own       string
+	Addresses []string
+}
+
+// RoutesPull asks for the sender's routes if they are newer than the version.
+type RoutesPull struct {
+	_     struct{} `cbor:",toarray"`
+	After ident.Revision
+}
+
+// RoutesPush carries the operator's routes as they were published.
+type RoutesPush struct {
+	_        struct{} `cbor:",toarray"`
+	Version  ident.Revision
+	Document []byte
+}
+
+// MapSwitch carries one message of the switch of an expert map between the
+// processes beside the ranks. Payload is encoded by the codec of that protocol.
+type MapSwitch struct {
+	_       struct{} `cbor:",toarray"`
+	Payload []byte
+}
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/mapswitch"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/link"
 	"github.com/anvilpoint/anvilpoint/internal/message"
@@ -27,6 +29,7 @@
 		counts  []uint64
 		experts [][]int
 		epoch   uint64
+		version mapswitch.Version
 	}
 	orderEnded struct {
 		order  mapswitch.Order
@@ -82,6 +85,7 @@
 	counts  []uint64
 	experts [][]int
 	logger  zerolog.Logger
+	events  *eventlog.Log
 	metrics *metrics
 }
 
@@ -167,7 +171,11 @@
 		case mapswitch.Send:
 			a.send(ctx, now, one)
 		case mapswitch.Notice:
-			a.logger.Info().Uint64("version", uint64(one.Version)).Uint64("step", one.Step).Str("change", one.Name).Msg(one.Detail)
+			s, _ := a.rank.Engine()
+			a.events.Emit(eventlog.Event{
+				Name: one.Name, Group: ident.GroupID(s.Group),
+				Detail: fmt.Sprintf("version %d, step %d, epoch %d, %s", one.Version, one.Step, s.Epoch, one.Detail),
+			})
 			a.metrics.changes.WithLabelValues(one.Name).Inc()
 		}
 	}
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -36,7 +36,7 @@
 	// during a change.
 	quietRead = 200 * time.Millisecond
 	busyRead  = 20 * time.Millisecond
-	// loadRead is the interval of reading what the requests chose.
+	// loadInterval is the interval of reading what the requests chose.
 	loadInterval = 80 * time.Millisecond
 	// engineLimit bounds one call to the engine on the same machine.
 	engineLimit = 250 * time.Millisecond
@@ -110,7 +110,7 @@
 		mailbox: task.NewMailbox[agentMessage](agentCapacity, task.Block),
 		rank:    mapswitch.NewRank(now), leader: mapswitch.NewLeader(now, p.start), address: o.Settings.LinkListen,
 		links: make(map[*link.Link]uint64), byRank: make(map[ident.Rank]*link.Link),
-		dialers: make(map[string]context.CancelFunc), logger: o.Logger, metrics: p.metrics,
+		dialers: make(map[string]context.CancelFunc), logger: o.Logger, events: o.Events, metrics: p.metrics,
 		dial: p.dial, order: p.order, assist: p.assist, server: o.Settings.Server,
 	}
 	return p, nil
@@ -210,13 +210,18 @@
 
 // readLoad reads what the engine's requests chose and what the engine holds.
 func (p *process) readLoad(ctx context.Context) error {
+	var last loadRead
 	for {
 		limited, cancel := context.WithTimeout(ctx, engineLimit)
-		m, err := p.load(limited)
+		m, err := p.load(limited, last)
 		cancel()
+		if err == nil {
+			last = m
+		}
 		if err == nil {
 			p.agent.mailbox.Send(ctx, m)
 		} else if ctx.Err() == nil {
+			last = loadRead{}
 			p.options.Logger.Debug().Err(err).Msg("engine load")
 		}
 		if !sleep(ctx, loadInterval) {
@@ -225,17 +230,21 @@
 	}
 }
 
-func (p *process) load(ctx context.Context) (loadRead, error) {
+// load reads the counts, and the experts if the engine has another map than at the
+// last reading.
+func (p *process) load(ctx context.Context, last loadRead) (loadRead, error) {
 	state, grouped, err := p.engine.State(ctx)
 	if err != nil || !grouped {
 		return loadRead{}, errors.WithMessage(err, "engine state")
 	}
-	counts, err := p.engine.Counts(ctx)
-	if err != nil {
+	m := loadRead{epoch: state.Epoch, version: state.Map, experts: last.experts}
+	if m.counts, err = p.engine.Counts(ctx); err != nil {
 		return loadRead{}, err
 	}
-	experts, err := p.engine.Experts(ctx)
-	return loadRead{counts: counts, experts: experts, epoch: state.Epoch}, err
+	if last.experts == nil || last.epoch != m.epoch || last.version != m.version {
+		m.experts, err = p.engine.Experts(ctx)
+	}
+	return m, err
 }
 
 // readStore reads the addresses of the other ranks and the model of the engines.
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"io"
 	"sort"
@@ -142,7 +143,12 @@
 	return lines, skipped, errors.Wrap(scanner.Err(), source.Name)
 }
 
+// parseLine reads one event. Text before the event, as a log collector puts it
+// there, is left out.
 func parseLine(data []byte) (Line, error) {
+	if start := bytes.IndexByte(data, '{'); start > 0 {
+		data = data[start:]
+	}
 	var line Line
 	if err := json.Unmarshal(data, &line); err != nil {
 		return Line{}, errors.Wrap(err, "not an event")
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -73,3 +73,16 @@
 	must.StrNotContains(t, page.String(), "<script>\"")
 	must.StrContains(t, page.String(), "&lt;script&gt;")
 }
+
+// Guards against events that are lost because a log collector puts the time and
+// the instance before each line.
+func TestTextBeforeAnEventIsLeftOut(t *testing.T) {
+	text := run(t, func(w *eventlog.Writer) {
+		log := w.Log("entry-0", 1, hlc.New(func() time.Time { return time.Unix(10, 0) }))
+		must.True(t, log.Emit(eventlog.Event{Name: "request.ended", Request: "r"}))
+	})
+	lines, skipped, err := timeline.Merge([]timeline.Source{{Name: "a", Reader: strings.NewReader("  12.5 front-1 " + text)}}, timeline.Filter{})
+	must.NoError(t, err)
+	must.SliceEmpty(t, skipped)
+	must.SliceLen(t, 1, lines)
+}
