--- /dev/null
+++ b/internal/gateway/waiting_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
+	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/record"
+)
+
+var waitStart = time.Unix(1000, 0)
+
+// waitWorld is a dispatch task that a test steps itself, with one engine of one
+// place and a route for each priority.
+type waitWorld struct {
+	t *testing.T
+	d *dispatch
+}
+
+func newWaitWorld(t *testing.T, servers int) *waitWorld {
+	t.Helper()
+	d := newDispatch("z", rand.New(rand.NewPCG(1, 1)), routing.WindowConfig{Ratio: 1, Slack: 10, Window: time.Second}, newMetrics())
+	spec := record.RouteSpec{Version: 1, Services: map[ident.ServiceName]record.HTTPService{
+		"s": {Name: "s", Engine: &record.EngineModel{Slots: 1, Stride: 1, Step: time.Millisecond, PerSequence: time.Millisecond}},
+	}}
+	for priority := range 3 {
+		spec.Routes = append(spec.Routes, record.Route{
+			Name: fmt.Sprint(priority), Host: "h", Prefix: fmt.Sprintf("/%d/", priority), Kind: record.Streaming, Priority: priority,
+			Target: 500 * time.Millisecond, TimeLimit: 8 * time.Second, GapTarget: 120 * time.Millisecond,
+			Split: []record.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1,
+		})
+	}
+	routes, err := record.NewRoutes(spec)
+	must.NoError(t, err)
+	d.step(waitStart, setRoutes{routes: routes})
+	var list []registry.Server
+	for n := range servers {
+		list = append(list, registry.Server{ID: ident.ServerID(fmt.Sprint(n)), Service: "s", Domain: "z", Slots: 1})
+	}
+	d.step(waitStart, setServers{servers: list})
+	return &waitWorld{t: t, d: d}
+}
+
+// ask sends a request of the priority. A time left of zero is a first try.
+func (w *waitWorld) ask(at time.Duration, priority int, left time.Duration) <-chan admission {
+	reply := make(chan admission, 1)
+	w.d.step(waitStart.Add(at), admit{host: "h", path: fmt.Sprintf("/%d/x", priority), timeLeft: left, reply: reply})
+	w.look(at)
+	return reply
+}
+
+func (w *waitWorld) look(at time.Duration) { w.d.serveWaiting(waitStart.Add(at)) }
+
+// free ends the request at the server.
+func (w *waitWorld) free(at time.Duration, a admission) {
+	w.d.step(waitStart.Add(at), settle{service: "s", server: a.server.ID})
+	w.look(at)
+}
+
+func placed(reply <-chan admission) bool { return len(reply) == 1 }
+
+// Guards against a request that waits although nobody can serve it.
+func TestRequestWithoutServersIsRefusedAtOnce(t *testing.T) {
+	w := newWaitWorld(t, 0)
+	reply := w.ask(0, 0, 0)
+	must.True(t, placed(reply))
+	a := <-reply
+	must.Eq(t, http.StatusServiceUnavailable, a.status)
+	must.Positive(t, a.retryAfter)
+}
+
+// Guards against a less urgent request that gets a place before a more urgent one
+// that came later.
+func TestMoreUrgentRequestGetsTheNextPlace(t *testing.T) {
+	w := newWaitWorld(t, 1)
+	first := <-w.ask(0, 2, 0)
+	later := w.ask(10*time.Millisecond, 2, 0)
+	urgent := w.ask(20*time.Millisecond, 0, 0)
+	w.free(30*time.Millisecond, first)
+	must.True(t, placed(urgent))
+	must.False(t, placed(later))
+}
+
+// Guards against a late request that takes the place of one that can be on time,
+// and against one that came back once and is refused for one that will come back.
+func TestPlacesGoByStanding(t *testing.T) {
+	w := newWaitWorld(t, 1)
+	running := <-w.ask(0, 0, 0)
+	late := w.ask(0, 0, 0)
+	returned := w.ask(300*time.Millisecond, 0, 4*time.Second)
+	w.look(300 * time.Millisecond)
+	onTime := w.ask(310*time.Millisecond, 2, 0)
+	w.free(320*time.Millisecond, running)
+	must.True(t, placed(onTime))
+	w.free(330*time.Millisecond, <-onTime)
+	must.True(t, placed(returned))
+	must.False(t, placed(late))
+}
+
+// Guards against a request that is held to the end of its client's time.
+func TestWaitingEnds(t *testing.T) {
+	w := newWaitWorld(t, 1)
+	<-w.ask(0, 0, 0)
+	reply := w.ask(0, 0, 0)
+	w.look(time.Second)
+	must.False(t, placed(reply))
+	w.look(1300 * time.Millisecond)
+	must.True(t, placed(reply))
+	must.Eq(t, http.StatusServiceUnavailable, (<-reply).status)
+}
+
+// Guards against requests that wait without bound.
+func TestWaitingRequestsAreBounded(t *testing.T) {
+	w := newWaitWorld(t, 1)
+	<-w.ask(0, 0, 0)
+	var replies []<-chan admission
+	for range maxWaiting + 10 {
+		replies = append(replies, w.ask(0, 1, 0))
+	}
+	urgent := w.ask(0, 0, 0)
+	refused := 0
+	for _, r := range replies {
+		if placed(r) {
+			refused++
+		}
+	}
+	must.Eq(t, 11, refused)
+	must.False(t, placed(urgent))
+}
