--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -59,10 +59,9 @@
 // control is the task that owns the routes in force, the list of backend
 // servers, the links to other entries and the life of the process.
 type control struct {
-	mailbox  *task.Mailbox[controlMessage]
-	life     *chart.Instance[*control]
-	grace    time.Duration
-	instance ident.InstanceID
+	mailbox *task.Mailbox[controlMessage]
+	life    *chart.Instance[*control]
+	grace   time.Duration
 	// address is where this process accepts links.
 	address  string
 	routes   *record.Routes
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	c.instance, c.address = s.Instance, s.LinkListen
+	c.address = s.LinkListen
 	c.dispatch, c.pool, c.logger = p.dispatch.mailbox, p.pool, p.options.Logger
 	c.drain = p.drain
 	random := p.random(2)
@@ -275,7 +275,7 @@
 func (p *process) drain() {
 	close(p.draining)
 	p.group.Go("drain", func(ctx context.Context) error {
-		if !sleep(ctx, leaveTime) {
+		if !task.Sleep(ctx, leaveTime) {
 			return nil
 		}
 		// Requests in flight that last longer end with the process.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -11,6 +11,7 @@
 	"github.com/anvilpoint/anvilpoint/chart"
 	"github.com/anvilpoint/anvilpoint/internal/charts"
 	"github.com/anvilpoint/anvilpoint/platform"
+	"github.com/anvilpoint/anvilpoint/task"
 )
 
 const (
@@ -67,7 +68,7 @@
 		case "watching":
 			w.watch(ctx)
 		default:
-			if !sleep(ctx, watchBackOff/2+time.Duration(w.random.Int64N(int64(watchBackOff)))) {
+			if !task.Sleep(ctx, watchBackOff/2+time.Duration(w.random.Int64N(int64(watchBackOff)))) {
 				return nil
 			}
 			w.life.Fire(time.Now(), "due")
@@ -105,7 +106,7 @@
 }
 
 func (w *watcher) watch(ctx context.Context) {
-	if w.spacing > 0 && !sleep(ctx, w.spacing) {
+	if w.spacing > 0 && !task.Sleep(ctx, w.spacing) {
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
@@ -133,14 +134,3 @@
 	w.life.Fire(time.Now(), "failed")
 	w.lost(ctx)
 }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/link/open.go
+++ b/internal/link/open.go
@@ -11,6 +11,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/anvilpoint/anvilpoint/internal/network"
+	"github.com/anvilpoint/anvilpoint/task"
 )
 
 // Path is the HTTP path on which links are accepted.
@@ -63,7 +64,7 @@
 		if time.Since(opened) > settled {
 			pause = firstPause
 		}
-		if !sleep(ctx, pause/2+time.Duration(d.Random.Int64N(int64(pause)))) {
+		if !task.Sleep(ctx, pause/2+time.Duration(d.Random.Int64N(int64(pause)))) {
 			return nil
 		}
 		pause = min(2*pause, maxPause)
@@ -110,17 +111,6 @@
 	}}, nil
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Listener puts TLS on a listener for links. Nil certificates mean plain text.
 func Listener(l net.Listener, c *Certificates) net.Listener {
 	if c == nil {
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -202,7 +202,7 @@
 		if busy {
 			pause = busyRead
 		}
-		if !sleep(ctx, pause) {
+		if !task.Sleep(ctx, pause) {
 			return nil
 		}
 	}
@@ -224,7 +224,7 @@
 			last = loadRead{}
 			p.options.Logger.Debug().Err(err).Msg("engine load")
 		}
-		if !sleep(ctx, loadInterval) {
+		if !task.Sleep(ctx, loadInterval) {
 			return nil
 		}
 	}
@@ -255,7 +255,7 @@
 			known = p.readModel(ctx)
 		}
 		p.readPeers(ctx)
-		if !sleep(ctx, peerInterval/2+time.Duration(rand.Int64N(int64(peerInterval)))) {
+		if !task.Sleep(ctx, peerInterval/2+time.Duration(rand.Int64N(int64(peerInterval)))) {
 			return nil
 		}
 	}
@@ -314,14 +314,3 @@
 	}
 	p.agent.mailbox.Send(ctx, peersRead{addresses: addresses})
 }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/source/config.go
+++ b/internal/source/config.go
@@ -78,14 +78,3 @@
 func jitter(random *rand.Rand, pause time.Duration) time.Duration {
 	return pause/2 + time.Duration(random.Int64N(int64(pause)))
 }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/source/instances.go
+++ b/internal/source/instances.go
@@ -13,6 +13,7 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/network"
+	"github.com/anvilpoint/anvilpoint/task"
 )
 
 // listInterval is the mean time between two reads of the instance list.
@@ -73,7 +74,7 @@
 		}
 		p.Deliver(ctx, List{Instances: instances, Err: err})
 		pause := max(listInterval, time.Duration(len(instances)-shortList)*intervalPerInstance)
-		if !sleep(ctx, jitter(p.Random, pause)) {
+		if !task.Sleep(ctx, jitter(p.Random, pause)) {
 			return nil
 		}
 	}
--- a/internal/standin/service/http.go
+++ b/internal/standin/service/http.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/standin"
@@ -76,7 +75,7 @@
 // execute runs the work in the middle of the service time. A call that is cut
 // before that has not run; one that is cut after it has.
 func (s *Server) execute(w http.ResponseWriter, r *http.Request, body []byte, p plan) {
-	if !sleep(r.Context(), p.time/2) {
+	if !task.Sleep(r.Context(), p.time/2) {
 		panic(http.ErrAbortHandler)
 	}
 	key := r.Header.Get(KeyHeader)
@@ -88,7 +87,7 @@
 		s.mailbox.Send(context.Background(), &die{})
 		panic(http.ErrAbortHandler)
 	}
-	if !sleep(r.Context(), p.time-p.time/2) {
+	if !task.Sleep(r.Context(), p.time-p.time/2) {
 		panic(http.ErrAbortHandler)
 	}
 	hash := sha256.Sum256(body)
@@ -98,15 +97,3 @@
 	})
 	s.config.Ledger.Answered(r.Context(), s.config.Service, key)
 }
-
-// sleep reports whether the time passed before the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/task/sleep.go
@@ -0,0 +1,18 @@
+package task
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for the pause. It returns false if the context ended before.
+func Sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/task/task_test.go
+++ b/task/task_test.go
@@ -102,3 +102,16 @@
 	senders.Wait()
 	must.Eq(t, 1, m.Len())
 }
+
+// Guards against a task that sleeps on after its context has ended.
+func TestSleepEndsWithTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		must.True(t, task.Sleep(t.Context(), time.Second))
+		must.Eq(t, time.Second, time.Since(start))
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		must.False(t, task.Sleep(ctx, time.Minute))
+		must.Eq(t, 2*time.Second, time.Since(start))
+	})
+}
