gateway: remove a context that changed nothing

The attempt of a call that must not be repeated had a context of its own so that it would outlive its client, but the end of the request cancels the attempt all the same. A limit of exactly zero no longer counts as none.

--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -105,7 +105,7 @@
 	life, actions := l.front.machines.New(now, request.Plan{
 		// The limit on the whole answer ends the request; the deadline for the first
 		// output never comes before it.
-		Deadline: l.limit + farAway, Limit: l.limit - now.Sub(l.arrived),
+		Deadline: l.limit + farAway, Limit: max(l.limit-now.Sub(l.arrived), time.Nanosecond),
 		Repeatable: l.route.Repeats(), MaxAttempts: l.route.MaxAttempts,
 	})
 	l.life = life
@@ -205,11 +205,6 @@
 // offer starts an attempt.
 func (l *flight) offer(now time.Time, a request.Offer) {
 	ctx, cancel := context.WithCancel(l.request.Context())
-	if l.route.Kind == record.AtMostOnce {
-		// A call that must not be repeated is finished although the client has left:
-		// its outcome is then known to the server at least.
-		ctx, cancel = context.WithCancel(detached(l.request))
-	}
 	l.cancel, l.number = cancel, a.Attempt
 	l.failed, l.elsewhere, l.silent = false, false, time.Time{}
 	left := l.limit - now.Sub(l.arrived)
