command: check the settings of hosted processes and the platform's configuration

check tells the kinds of files apart by their fields. A test fills in the templates of deploy/ and checks that the processes accept the result.

--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -11,13 +12,14 @@
 	"github.com/anvilpoint/anvilpoint/internal/jsonc"
 	"github.com/anvilpoint/anvilpoint/internal/record"
 	"github.com/anvilpoint/anvilpoint/internal/settings"
+	"github.com/anvilpoint/anvilpoint/platform"
 )
 
 func init() {
 	register(spec{
 		name:  "check",
-		short: "Check settings and configuration records",
-		long:  "Reports every fault of the files with its place. Settings and records are told apart by their fields. With two records it also prints what changes from the first to the second.",
+		short: "Check settings, configuration records and the platform's configuration",
+		long:  "Reports every fault of the files with its place. The kinds of files are told apart by their fields. With two records it also prints what changes from the first to the second.",
 		make:  func(env *environment) flags.Commander { return &checkCommand{env: env} },
 	})
 }
@@ -60,7 +62,16 @@
 	if err != nil {
 		return nil, errors.WithMessage(err, "check")
 	}
-	if !isRecord(data) {
+	switch {
+	case hasField(data, "/metrics_listen"):
+		_, faults := settings.ParseHosted(file, data)
+		return nil, c.report(file, "settings of a hosted process", faults)
+	case hasField(data, "/routes"):
+		if _, err := platform.DecodeRoutes(data); err != nil {
+			return nil, errors.WithMessage(err, file)
+		}
+		return nil, c.report(file, "configuration of the platform", nil)
+	case !isRecord(data):
 		_, faults := settings.Parse(file, data)
 		return nil, c.report(file, "settings", faults)
 	}
@@ -79,16 +90,15 @@
 // isRecord tells a record or a bundle by fields that settings do not have. One
 // is enough, so that a record without its schema field is reported as a record.
 func isRecord(data []byte) bool {
+	return hasField(data, "/schema", "/records", "/revision", "/accounts", "/classes", "/replicas")
+}
+
+func hasField(data []byte, fields ...string) bool {
 	tree, err := hujson.Parse(data)
 	if err != nil {
 		return false
 	}
-	for _, field := range []string{"/schema", "/records", "/revision", "/accounts", "/classes", "/replicas"} {
-		if tree.Find(field) != nil {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(fields, func(field string) bool { return tree.Find(field) != nil })
 }
 
 func (c *checkCommand) printChanges(before, after *record.Snapshot) error {
--- a/internal/command/check_test.go
+++ b/internal/command/check_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -37,3 +38,36 @@
 	code, _, _ = check(filepath.Join(dir, "missing"))
 	must.Eq(t, ExitUsage, code)
 }
+
+// Guards against settings that the platform fills in and no process accepts, and
+// against a broken configuration of the platform that check takes for valid.
+func TestCheckHostedFiles(t *testing.T) {
+	dir := t.TempDir()
+	check := func(text string) (int, string) {
+		path := filepath.Join(dir, "file.json")
+		must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		var out, errs bytes.Buffer
+		code := run([]string{"check", path}, &environment{out: &out, err: &errs})
+		return code, out.String() + errs.String()
+	}
+	values := strings.NewReplacer(
+		"{{seeds|json}}", `["10.0.0.1:1"]`, "{{bounds.graceS}}", "8", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retrySlack}}", "188",
+		"{{bounds.budgetWindowS}}", "10", "{{internalPorts.0}}", "7340", "{{internalPorts.1}}", "7355", "{{ip}}", "10.0.0.1",
+		"{{listen.front}}", "10.0.0.1:80", "{{listen.ready}}", "10.0.0.1:81", "{{listen.control}}", "10.0.0.1:82",
+		"{{platform.address}}", "10.0.0.2:80", "{{app}}", "10.0.0.1:90", "{{service}}", "s", "{{nodeName}}", "n", "{{zone}}", "z", "{{region}}", "r",
+	)
+	for _, name := range []string{"entry", "sidecar"} {
+		template, err := os.ReadFile(filepath.Join("..", "..", "deploy", name+".settings.json"))
+		must.NoError(t, err)
+		code, text := check(values.Replace(string(template)))
+		must.Eq(t, ExitDone, code, must.Sprint(text))
+		code, text = check(strings.Replace(values.Replace(string(template)), `"10.0.0.2:80"`, `"nowhere"`, 1))
+		must.Eq(t, ExitUsage, code)
+		must.StrContains(t, text, "store:")
+	}
+	code, _ := check(`{"version":1,"routes":[{"name":"r","host":"h","prefix":"/x/","service":"s"}]}`)
+	must.Eq(t, ExitDone, code)
+	code, text := check(`{"version":1,"routes":[{"name":"r","host":"h","prefix":"x","service":"s"}]}`)
+	must.Eq(t, ExitUsage, code)
+	must.StrContains(t, text, `route "r": prefix "x"`)
+}
