--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -1,18 +1,30 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc/panics"
 
+	"github.com/anvilpoint/anvilpoint/hlc"
 	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
 	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/record"
+	"github.com/anvilpoint/anvilpoint/internal/upstream"
+	"github.com/anvilpoint/anvilpoint/platform"
+	"github.com/anvilpoint/anvilpoint/platform/platformtest"
+	"github.com/anvilpoint/anvilpoint/task"
 )
 
 var waitStart = time.Unix(1000, 0)
@@ -116,6 +128,35 @@
 	must.Eq(t, http.StatusServiceUnavailable, (<-reply).status)
 }
 
+// Guards against a request that is sent although its client left while it waited,
+// and against a place that it keeps: trouble-2 of tfl-biogas broke GONE by it.
+func TestRequestOfAClientThatLeftIsNotSent(t *testing.T) {
+	w := newWaitWorld(t, 1)
+	opened := false
+	f := &front{
+		dispatch: w.d.mailbox, protocol: platform.Protocol{}, metrics: w.d.metrics, events: eventlog.Discard(hlc.New(time.Now)),
+		draining: make(chan struct{}),
+		caller: &upstream.Caller{Pool: upstream.NewPool(), Dial: func(context.Context, string) (net.Conn, error) {
+			opened = true
+			return nil, errors.New("no connection is expected")
+		}},
+	}
+	group := task.NewGroup(context.Background())
+	group.Go("dispatch", w.d.run)
+	left, cancel := context.WithCancel(context.Background())
+	cancel()
+	r := platformtest.Request(t, http.MethodPost, "127.0.0.1:1", "h", "/0/x", "request-1", "", "prompt").WithContext(left)
+	r.RequestURI = "/0/x"
+	ended := panics.Try(func() { f.ServeHTTP(httptest.NewRecorder(), r) })
+	must.NotNil(t, ended)
+	must.Eq(t, any(http.ErrAbortHandler), ended.Value)
+	must.False(t, opened)
+	work, ok := task.Ask(context.Background(), w.d.mailbox, func(reply chan<- *message.Work) dispatchMessage { return askWork{reply: reply} })
+	must.True(t, ok)
+	must.SliceEmpty(t, work.Servers)
+	must.NoError(t, group.Stop(0))
+}
+
 // Guards against requests that wait without bound.
 func TestWaitingRequestsAreBounded(t *testing.T) {
 	w := newWaitWorld(t, 1)
