routing: share the slack of the retry budget among the entries that are heard of

The slack was divided by 14 assumed entries. A deployment with 24 entries and seven spare ones could send more retries than the platform allows. At least 14 are still assumed, since an entry that is cut off hears of none.

--- a/internal/decide/routing/budget.go
+++ b/internal/decide/routing/budget.go
@@ -72,8 +72,9 @@
 // Request counts a client's request.
 func (b *WindowBudget) Request(now time.Time) { b.cell(now).requests++ }
 
-// Take reports whether a retry may be sent, and counts it.
-func (b *WindowBudget) Take(now time.Time) bool {
+// Take reports whether a retry may be sent, and counts it. The slack is shared by
+// that many callers, of which this is one.
+func (b *WindowBudget) Take(now time.Time, callers int) bool {
 	c := b.cell(now)
 	requests, retries := 0.0, 0.0
 	for _, one := range b.cells {
@@ -84,7 +85,7 @@
 			retries += one.retries
 		}
 	}
-	if retries+1 > b.config.Ratio*requests+b.config.Slack {
+	if retries+1 > b.config.Ratio*requests+b.config.Slack/float64(max(callers, 1)) {
 		return false
 	}
 	c.retries++
--- a/internal/decide/routing/budget_test.go
+++ b/internal/decide/routing/budget_test.go
@@ -19,7 +19,7 @@
 	for range 3000 {
 		now = now.Add(10 * time.Millisecond)
 		b.Request(now)
-		for b.Take(now) {
+		for b.Take(now, 1) {
 			taken = append(taken, now)
 		}
 	}
@@ -35,3 +35,17 @@
 	}
 	must.Greater(t, 200, len(taken))
 }
+
+// Guards against entries that each take the whole slack: in a deployment with 24
+// of them the retries of all would be 24 times what the platform allows.
+func TestSlackIsSharedByTheEntries(t *testing.T) {
+	const entries, slack = 24, 240
+	taken := 0
+	for range entries {
+		b := routing.NewWindowBudget(routing.WindowConfig{Slack: slack, Window: 10 * time.Second})
+		for b.Take(time.Unix(1000, 0), entries) {
+			taken++
+		}
+	}
+	must.Eq(t, slack, taken)
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -18,6 +18,9 @@
 
 const (
 	dispatchCapacity = 1024
+	// leastEntries is the least number of entries among which the slack of the retry
+	// budget is shared. An entry that has heard of few others may be cut off from them.
+	leastEntries = 14
 	// comeBack is when a refused client may try again. It has waited for a place
 	// before, so that the crowd that took it should have passed first.
 	comeBack = time.Second
@@ -115,7 +118,9 @@
 	services map[ident.ServiceName]*intake.Service
 	budgets  map[ident.ServiceName]*routing.WindowBudget
 	budget   routing.WindowConfig
-	metrics  *metrics
+	// entries are the other entries and when each was last heard of.
+	entries map[ident.InstanceID]time.Time
+	metrics *metrics
 	// waiting are the requests without a place, the next one first.
 	waiting []*waiter
 }
@@ -126,6 +131,7 @@
 		domain:  domain, random: random, budget: budget, metrics: m,
 		services: make(map[ident.ServiceName]*intake.Service),
 		budgets:  make(map[ident.ServiceName]*routing.WindowBudget),
+		entries:  make(map[ident.InstanceID]time.Time),
 	}
 }
 
@@ -253,7 +259,7 @@
 }
 
 func (d *dispatch) choose(now time.Time, m choose) choice {
-	if m.again && !d.budgetOf(m.service).Take(now) {
+	if m.again && !d.budgetOf(m.service).Take(now, d.sharers(now)) {
 		return choice{reason: outcome.ReasonRetryBudget}
 	}
 	server, ok := d.start(now, m.service, m.tried)
@@ -263,6 +269,20 @@
 	return choice{server: server, ok: true}
 }
 
+// sharers is the number of entries that share the retry budget: those of which
+// retries may lie in its window.
+func (d *dispatch) sharers(now time.Time) int {
+	n := 1
+	for id, heard := range d.entries {
+		if now.Sub(heard) > 2*d.budget.Window {
+			delete(d.entries, id)
+			continue
+		}
+		n++
+	}
+	return max(n, leastEntries)
+}
+
 // start picks a backend server and counts a request there.
 func (d *dispatch) start(now time.Time, service ident.ServiceName, tried []ident.ServerID) (registry.Server, bool) {
 	server, ok := d.service(service).Pick(now, tried)
@@ -303,6 +323,7 @@
 }
 
 func (d *dispatch) heard(now time.Time, m heardWork) {
+	d.entries[m.from] = now
 	byServer := make(map[ident.ServerID]int, len(m.work.Servers))
 	for _, w := range m.work.Servers {
 		byServer[w.Server] = w.Running
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,9 +43,6 @@
 	// operators' limits, since the bounds on clients are theirs.
 	headerLimit = 10 * time.Second
 	idleLimit   = 60 * time.Second
-	// assumedEntries is the number of entries that share the retry budget. It is
-	// above the number in use, so that the budget holds while entries are replaced.
-	assumedEntries = 14
 )
 
 // Options are what an entry needs of the process around it.
@@ -134,7 +131,7 @@
 	}
 	s := o.Settings
 	p.dispatch = newDispatch(s.Domain, p.random(1), routing.WindowConfig{
-		Ratio: s.RetryRatio / 2, Slack: s.RetrySlack / 2 / assumedEntries, Window: s.RetryWindow,
+		Ratio: s.RetryRatio / 2, Slack: s.RetrySlack / 2, Window: s.RetryWindow,
 	}, p.metrics)
 	if err := p.assembleFront(); err != nil {
 		return nil, err
