rank, mapswitch: messages of a map change that fit narrow links

Cause: with 72 ranks each beat brought the leader 72 times 1,728 numbers of about five bytes, 50 Mbit/s on a link of 8, and a change sent every rank a map of six kilobytes, again after 60 ms. All ranks also linked with each other.

The leader asks a part of the ranks in turn what their requests chose since they last told, in four bits an expert; maps travel as differences from the last one on the link, and whole when repeated; only the leader dials. The copies of one change are bounded in time instead of number, since an expert takes 0.016 s to copy here and 0.11 s in the first deployments.

--- a/internal/decide/mapswitch/leader.go
+++ b/internal/decide/mapswitch/leader.go
@@ -15,6 +15,9 @@
 	// resend is the interval at which a command is repeated to a rank that has not
 	// followed it.
 	resend = 60 * time.Millisecond
+	// resendMap is the same for a command with a map. The maps of a change to 72
+	// ranks fill a link of 8 Mbit/s for a tenth of a second.
+	resendMap = 400 * time.Millisecond
 	// beatInterval is the interval of beats while no change is under way.
 	beatInterval = 90 * time.Millisecond
 	// statusMemory is how long a status holds.
@@ -58,6 +61,10 @@
 	step        uint64
 	content     placement.Map
 	sent        time.Time
+	// tellers is how many ranks one beat asks what their requests chose, and
+	// nextTeller the first of the next beat.
+	tellers    int
+	nextTeller int
 	// passTime is the smoothed time of a pass, and begun and begunAt the last
 	// observation.
 	passTime time.Duration
@@ -78,6 +85,8 @@
 	armed bool
 	// asked is when the leader last ordered the rank's engine.
 	asked time.Time
+	// mapSent is when the rank was last sent the map of the change.
+	mapSent time.Time
 }
 
 var leaderMachine = chart.MustBind(charts.Must("map-leader"), chart.Binding[*Leader]{
@@ -96,7 +105,7 @@
 	Observe: func(l *Leader, t chart.Transition) {
 		l.sent, l.decided = time.Time{}, l.now
 		for i := range l.ranks {
-			l.ranks[i].done, l.ranks[i].armed, l.ranks[i].asked = false, false, time.Time{}
+			l.ranks[i].done, l.ranks[i].armed, l.ranks[i].asked, l.ranks[i].mapSent = false, false, time.Time{}, time.Time{}
 		}
 		if t.From != t.To {
 			l.actions = append(l.actions, Notice{Name: "map.leader-" + t.To, Version: l.version, Step: l.step, Detail: "from " + t.From + " on " + t.Event})
@@ -151,6 +160,10 @@
 	return l.take()
 }
 
+// Ask sets how many ranks one beat asks what their requests chose. The ranks take
+// turns.
+func (l *Leader) Ask(tellers int) { l.tellers = tellers }
+
 // Ready reports whether a change can be started: none is under way and the last
 // one is in use, since an armed engine prepares nothing.
 func (l *Leader) Ready() bool {
@@ -183,9 +196,6 @@
 	if s.Experts == nil {
 		s.Experts = old.Experts
 	}
-	if s.Counts == nil {
-		s.Counts = old.Counts
-	}
 	l.ranks[s.Rank].status, l.ranks[s.Rank].at = s, now
 	l.observePass(s.Begun)
 	l.advance()
@@ -386,10 +396,18 @@
 	}
 	for i, r := range l.ranks {
 		one := c
-		if c.Verb == Prepare && r.status.Version == l.version && r.status.Phase != Idle {
-			// The rank has the map.
+		switch {
+		case c.Verb == Prepare && (r.status.Version == l.version && r.status.Phase != Idle || l.now.Sub(r.mapSent) < resendMap):
+			// The rank has the map, or will have it soon.
 			one.Verb, one.Map = Beat, nil
+		case c.Verb == Prepare:
+			l.ranks[i].mapSent = l.now
+		case l.Watching():
+			one.Tell = (i-l.nextTeller+len(l.ranks))%len(l.ranks) < l.tellers
 		}
 		l.actions = append(l.actions, Send{To: ident.Rank(i), Command: one})
 	}
+	if l.Watching() && len(l.ranks) > 0 {
+		l.nextTeller = (l.nextTeller + l.tellers) % len(l.ranks)
+	}
 }
--- a/internal/decide/mapswitch/message.go
+++ b/internal/decide/mapswitch/message.go
@@ -87,9 +87,12 @@
 	Group  string            `cbor:"3,keyasint"`
 	Epoch  uint64            `cbor:"4,keyasint"`
 	// Version and Step name the change and its pass.
-	Version Version       `cbor:"5,keyasint,omitempty"`
-	Step    uint64        `cbor:"6,keyasint,omitempty"`
-	Map     placement.Map `cbor:"7,keyasint,omitempty"`
+	Version Version `cbor:"5,keyasint,omitempty"`
+	Step    uint64  `cbor:"6,keyasint,omitempty"`
+	// Map travels in a shorter form than the command itself.
+	Map placement.Map `cbor:"-"`
+	// Tell asks the rank what its requests chose.
+	Tell bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Status goes from a rank to the leader.
@@ -117,11 +120,11 @@
 	Pace float64 `cbor:"15,keyasint,omitempty"`
 	// Unanswered says that orders to the engine stayed unanswered lately.
 	Unanswered bool `cbor:"16,keyasint,omitempty"`
-	// Experts are the rank's experts by layer set, and Counts how often its
-	// requests chose each expert since the engine's start, one layer set after the
-	// other.
-	Experts [][]int  `cbor:"12,keyasint,omitempty"`
-	Counts  []uint64 `cbor:"13,keyasint,omitempty"`
+	// Experts are the rank's experts by layer set.
+	Experts [][]int `cbor:"12,keyasint,omitempty"`
+	// Chosen is how often the rank's requests chose each expert since it last told
+	// so, one layer set after the other. It travels in a shorter form.
+	Chosen []float64 `cbor:"-"`
 }
 
 // OrderKind is the kind of an order to the engine.
@@ -172,7 +175,11 @@
 }
 
 // Report sends the rank's status to the leader.
-type Report struct{ Status Status }
+type Report struct {
+	Status Status
+	// Tell says that the leader asks what the rank's requests chose.
+	Tell bool
+}
 
 // Send sends a command to a rank.
 type Send struct {
--- a/internal/decide/mapswitch/rank.go
+++ b/internal/decide/mapswitch/rank.go
@@ -225,7 +225,7 @@
 	}
 	r.session = max(r.session, session)
 	r.obey(c)
-	r.actions = append(r.actions, Report{Status: r.Status()})
+	r.actions = append(r.actions, Report{Status: r.Status(), Tell: c.Tell})
 	return r.take()
 }
 
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/mapswitch"
@@ -60,6 +59,14 @@
 func (askBusy) isAgentMessage()     {}
 func (stopProcess) isAgentMessage() {}
 
+// rankLink is a link to the process beside another rank.
+type rankLink struct {
+	// session is the place in the order in which the links came up.
+	session uint64
+	// sent and received are the last maps on the link.
+	sent, received lastMap
+}
+
 // agent is the task that owns the decisions about the rank's expert map, and,
 // beside rank 0, about the group's.
 type agent struct {
@@ -68,7 +75,7 @@
 	leader  *mapswitch.Leader
 	planner planner
 	address string
-	links   map[*link.Link]uint64
+	links   map[*link.Link]*rankLink
 	// sessions numbers the links in the order in which they came up.
 	sessions uint64
 	// leading is the link to the leader whose command came last.
@@ -76,13 +83,22 @@
 	// byRank are the links to the other ranks as the leader knows them.
 	byRank  map[ident.Rank]*link.Link
 	dialers map[string]context.CancelFunc
-	dial    func(ctx context.Context, address string)
-	order   func(o mapswitch.Order)
+	// peers are the addresses for links of the processes beside the other ranks.
+	peers []string
+	// leads says that the rank is the first of its group, so that this process dials
+	// the others. A link between all of them would be 2,556 links for 72 ranks.
+	leads bool
+	dial  func(ctx context.Context, address string)
+	order func(o mapswitch.Order)
 	// assist gives an order to the engine of another rank.
 	assist func(a mapswitch.Assist)
 	// server is the address of the engine beside this process.
-	server  string
+	server string
+	// counts is how often the rank's requests chose each expert since the engine's
+	// start, and told what of it the leader with that incarnation has been told.
 	counts  []uint64
+	told    []uint64
+	toldTo  ident.Incarnation
 	experts [][]int
 	logger  zerolog.Logger
 	events  *eventlog.Log
@@ -113,6 +129,10 @@
 	switch m := m.(type) {
 	case engineRead:
 		a.carryOut(ctx, now, a.rank.Observe(now, m.state))
+		if leads := m.state.Rank == 0; leads != a.leads {
+			a.leads = leads
+			a.join(ctx)
+		}
 	case loadRead:
 		a.loadRead(m)
 	case orderEnded:
@@ -122,9 +142,11 @@
 	case linkEvent:
 		a.link(ctx, now, m.event)
 	case peersRead:
-		a.join(ctx, m.addresses)
+		a.peers = m.addresses
+		a.join(ctx)
 	case modelRead:
 		a.planner.model = m.model
+		a.leader.Ask(tellers(m.model))
 	case askBusy:
 		m.reply <- a.rank.Busy()
 	}
@@ -150,7 +172,7 @@
 	if !a.leader.Ready() {
 		return
 	}
-	if plan, ok := a.planner.plan(now, s.Epoch, a.leader.Statuses()); ok {
+	if plan, ok := a.planner.plan(now, a.leader.Statuses()); ok {
 		a.metrics.planned(plan)
 		a.logger.Info().Float64("skew", plan.Before).Float64("planned", plan.After).Int("copies", plan.Copies).Msg("map change proposed")
 		a.carryOut(ctx, now, a.leader.Propose(now, plan.Map))
@@ -167,7 +189,7 @@
 				Msg("the process beside the rank does not follow; its engine is ordered from here")
 			a.assist(one)
 		case mapswitch.Report:
-			a.report(ctx, now, one.Status)
+			a.report(ctx, now, one)
 		case mapswitch.Send:
 			a.send(ctx, now, one)
 		case mapswitch.Notice:
@@ -181,18 +203,14 @@
 	}
 }
 
-// frame is one message of the protocol on a link. One of the fields is set.
-type frame struct {
-	Command *mapswitch.Command `cbor:"1,keyasint,omitempty"`
-	Status  *mapswitch.Status  `cbor:"2,keyasint,omitempty"`
-	// Rank is the sender's.
-	Rank ident.Rank `cbor:"3,keyasint"`
-}
-
 func (a *agent) transmit(l *link.Link, f frame) {
+	one := a.links[l]
+	if one == nil {
+		return
+	}
 	s, _ := a.rank.Engine()
 	f.Rank = s.Rank
-	payload, err := cbor.Marshal(f)
+	payload, err := encodeFrame(f, &one.sent)
 	if err != nil {
 		a.logger.Error().Err(err).Msg("map change: a message cannot be encoded")
 		return
@@ -201,13 +219,17 @@
 }
 
 // report sends the rank's status to the leader it follows.
-func (a *agent) report(ctx context.Context, now time.Time, s mapswitch.Status) {
+func (a *agent) report(ctx context.Context, now time.Time, r mapswitch.Report) {
+	s := r.Status
 	s.Server = a.server
 	if s.Phase == mapswitch.Idle {
-		s.Counts, s.Experts = a.counts, a.experts
+		s.Experts = a.experts
+	}
+	if r.Tell {
+		s.Chosen = a.tell(s.Leader)
 	}
 	if s.Rank == 0 {
-		a.carryOut(ctx, now, a.leader.Receive(now, s))
+		a.heard(ctx, now, s)
 		return
 	}
 	if a.leading != nil {
@@ -215,6 +237,31 @@
 	}
 }
 
+// tell returns what the requests chose since the leader was last told.
+func (a *agent) tell(leader ident.Incarnation) []float64 {
+	last := a.told
+	a.told = a.counts
+	if leader != a.toldTo || len(last) != len(a.counts) {
+		a.toldTo = leader
+		return nil
+	}
+	chosen := make([]float64, len(last))
+	for i, n := range a.counts {
+		if n < last[i] {
+			// The engine started anew.
+			return nil
+		}
+		chosen[i] = float64(n - last[i])
+	}
+	return chosen
+}
+
+// heard takes the status of a rank.
+func (a *agent) heard(ctx context.Context, now time.Time, s mapswitch.Status) {
+	a.planner.observe(s.Epoch, s.Rank, s.Chosen)
+	a.carryOut(ctx, now, a.leader.Receive(now, s))
+}
+
 func (a *agent) send(ctx context.Context, now time.Time, m mapswitch.Send) {
 	if m.To == 0 {
 		a.carryOut(ctx, now, a.rank.Receive(now, ownSession, m.Command))
@@ -249,7 +296,7 @@
 	switch e.Kind {
 	case link.Up:
 		a.sessions++
-		a.links[e.Link] = a.sessions
+		a.links[e.Link] = &rankLink{session: a.sessions}
 		a.logger.Info().Str("peer", peer).Msg("link to rank up")
 	case link.Down:
 		a.forget(e.Link)
@@ -275,29 +322,32 @@
 }
 
 func (a *agent) received(ctx context.Context, now time.Time, from *link.Link, payload []byte) {
-	var f frame
-	if err := cbor.Unmarshal(payload, &f); err != nil {
+	one := a.links[from]
+	if one == nil {
+		return
+	}
+	f, err := decodeFrame(payload, &one.received)
+	if err != nil {
 		a.logger.Error().Err(err).Msg("map change: a message cannot be decoded")
 		return
 	}
 	switch {
 	case f.Command != nil:
 		a.leading = from
-		a.carryOut(ctx, now, a.rank.Receive(now, a.links[from], *f.Command))
+		a.carryOut(ctx, now, a.rank.Receive(now, one.session, *f.Command))
 	case f.Status != nil:
 		if s, known := a.rank.Engine(); known && f.Status.Epoch == s.Epoch && f.Status.Group == s.Group {
 			a.byRank[f.Status.Rank] = from
 		}
-		a.carryOut(ctx, now, a.leader.Receive(now, *f.Status))
+		a.heard(ctx, now, *f.Status)
 	}
 }
 
-// join dials the processes beside the other ranks. Of two processes the one with
-// the smaller address dials.
-func (a *agent) join(ctx context.Context, addresses []string) {
-	wanted := make(map[string]bool, len(addresses))
-	for _, address := range addresses {
-		if address <= a.address {
+// join dials the processes beside the other ranks if this one leads.
+func (a *agent) join(ctx context.Context) {
+	wanted := make(map[string]bool, len(a.peers))
+	for _, address := range a.peers {
+		if !a.leads || address == a.address {
 			continue
 		}
 		wanted[address] = true
--- a/internal/rank/planner.go
+++ b/internal/rank/planner.go
@@ -5,27 +5,34 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/mapswitch"
 	"github.com/anvilpoint/anvilpoint/internal/decide/placement"
+	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/record"
 )
 
 // planner decides when the leader proposes a map.
 type planner struct {
 	model *record.EngineModel
-	// epoch and last are the formation and the counts of the last reading.
 	epoch uint64
-	last  [][]uint64
 	at    time.Time
+	// window is how often each expert was chosen since the last look, by layer set,
+	// and told the ranks that it is known of.
+	window [][]float64
+	told   map[ident.Rank]bool
 	// fast and slow are the shares of each expert by layer set, smoothed over a
 	// shorter and a longer time.
-	fast  [][]float64
-	slow  [][]float64
-	ready bool
+	fast [][]float64
+	slow [][]float64
 }
 
 const (
 	// planInterval is the least time between two looks at the counts. In it a group
 	// under load makes several passes.
 	planInterval = 120 * time.Millisecond
+	// windowLimit is how long a look waits for ranks that tell nothing.
+	windowLimit = 500 * time.Millisecond
+	// tellBytes is what the ranks may tell the leader in one beat, half a byte for
+	// each expert and layer set. It takes a third of a link of 8 Mbit/s.
+	tellBytes = 32 << 10
 	// fastKeep and slowKeep are the parts of the earlier shares that a new reading
 	// keeps. Popularity changes within seconds.
 	fastKeep = 0.4
@@ -40,27 +47,37 @@
 	// second differs from the measured one.
 	leastSkew = 1.5
 	leastGain = 0.06
-	// maxCopies bounds the new experts of a rank in one change over all layer sets,
-	// and with them the time until the map is used: 0.11 s for each.
-	maxCopies = 1
+	// copyTime bounds the time that a rank copies experts for one change, and with
+	// it the time until the map is used. One copy takes 0.016 to 0.11 s, and an
+	// engine is slower while it copies.
+	copyTime = 110 * time.Millisecond
 	// leastCounts is the number of choices per layer set below which a reading says
 	// little about popularity.
 	leastCounts = 2000
 )
 
-func (p *planner) plan(now time.Time, epoch uint64, statuses []mapswitch.Status) (placement.Plan, bool) {
-	if p.model == nil || now.Sub(p.at) < planInterval {
-		return placement.Plan{}, false
+// tellers is how many ranks one beat asks what their requests chose.
+func tellers(model *record.EngineModel) int {
+	return max(tellBytes/max(model.Layers*model.Experts/2, 1), 1)
+}
+
+// maxCopies is the number of experts that a rank can copy in the time for it.
+func maxCopies(model *record.EngineModel) int {
+	if model.ExpertCopy <= 0 {
+		return 1
 	}
-	present, sum, ok := gather(statuses, p.model)
-	if !ok {
+	return max(int((copyTime+model.ExpertCopy/2)/model.ExpertCopy), 1)
+}
+
+func (p *planner) plan(now time.Time, statuses []mapswitch.Status) (placement.Plan, bool) {
+	if p.model == nil || now.Sub(p.at) < planInterval || len(p.told) < len(statuses) && now.Sub(p.at) < windowLimit {
 		return placement.Plan{}, false
 	}
-	p.at = now
-	p.observe(epoch, sum)
-	if !p.ready {
+	present, ok := gather(statuses, p.model)
+	if !ok || !p.look() {
 		return placement.Plan{}, false
 	}
+	p.at = now
 	load := placement.Load{Work: p.forecast()}
 	for _, s := range statuses {
 		load.Pace = append(load.Pace, s.Pace)
@@ -69,66 +86,76 @@
 		return placement.Plan{}, false
 	}
 	plan := placement.Make(present, load, placement.Limits{
-		Places: p.model.Placements, MaxNew: p.model.MaxNew, MaxCopies: maxCopies,
+		Places: p.model.Placements, MaxNew: p.model.MaxNew, MaxCopies: maxCopies(p.model),
 	})
 	return plan, plan.Before-plan.After >= leastGain && plan.Map.Complete(p.model.Experts)
 }
 
-// gather puts the ranks' experts together and adds up their counts.
-func gather(statuses []mapswitch.Status, model *record.EngineModel) (placement.Map, [][]uint64, bool) {
+// gather puts the ranks' experts together.
+func gather(statuses []mapswitch.Status, model *record.EngineModel) (placement.Map, bool) {
 	present := make(placement.Map, model.Layers)
-	sum := make([][]uint64, model.Layers)
 	for l := range present {
-		sum[l] = make([]uint64, model.Experts)
 		for _, s := range statuses {
-			if len(s.Experts) != model.Layers || len(s.Counts) != model.Layers*model.Experts {
-				return nil, nil, false
+			if len(s.Experts) != model.Layers {
+				return nil, false
 			}
 			present[l] = append(present[l], s.Experts[l])
-			for e := range sum[l] {
-				sum[l][e] += s.Counts[l*model.Experts+e]
-			}
 		}
 	}
-	return present, sum, present.Complete(model.Experts)
+	return present, present.Complete(model.Experts)
 }
 
-// observe takes the sum of all ranks' counts.
-func (p *planner) observe(epoch uint64, sum [][]uint64) {
-	last := p.last
-	p.last = sum
-	if epoch != p.epoch || len(last) != len(sum) {
-		p.epoch, p.fast, p.slow, p.ready = epoch, nil, nil, false
+// observe takes what a rank's requests chose since it last told so.
+func (p *planner) observe(epoch uint64, rank ident.Rank, chosen []float64) {
+	if p.model == nil || len(chosen) != p.model.Layers*p.model.Experts {
 		return
 	}
-	shares, fresh := sharesOf(last, sum)
-	if !fresh {
-		// The choices count together with those of the next reading.
-		p.last = last
-		return
+	if epoch != p.epoch {
+		p.epoch, p.window, p.fast, p.slow = epoch, nil, nil, nil
+	}
+	if p.window == nil {
+		p.told = make(map[ident.Rank]bool)
+		p.window = make([][]float64, p.model.Layers)
+		for l := range p.window {
+			p.window[l] = make([]float64, p.model.Experts)
+		}
+	}
+	p.told[rank] = true
+	for i, n := range chosen {
+		p.window[i/p.model.Experts][i%p.model.Experts] += n
+	}
+}
+
+// look takes the choices since the last look into the shares. It reports false
+// if they are too few.
+func (p *planner) look() bool {
+	shares, ok := sharesOf(p.window)
+	if !ok {
+		return false
 	}
-	p.fast, p.slow, p.ready = smooth(p.fast, shares, fastKeep), smooth(p.slow, shares, slowKeep), true
+	p.window, p.told = nil, nil
+	p.fast, p.slow = smooth(p.fast, shares, fastKeep), smooth(p.slow, shares, slowKeep)
+	return true
 }
 
-// sharesOf returns each expert's share of the choices between two readings. The
-// second result is false if they are too few.
-func sharesOf(last, sum [][]uint64) ([][]float64, bool) {
-	shares := make([][]float64, len(sum))
-	for l := range sum {
-		shares[l] = make([]float64, len(sum[l]))
+// sharesOf returns each expert's share of the choices. The second result is false
+// if they are too few.
+func sharesOf(window [][]float64) ([][]float64, bool) {
+	shares := make([][]float64, len(window))
+	for l := range window {
 		total := 0.0
-		for e := range sum[l] {
-			shares[l][e] = max(float64(sum[l][e])-float64(last[l][e]), 0)
-			total += shares[l][e]
+		for _, n := range window[l] {
+			total += n
 		}
 		if total < leastCounts {
 			return nil, false
 		}
-		for e := range shares[l] {
-			shares[l][e] /= total
+		shares[l] = make([]float64, len(window[l]))
+		for e, n := range window[l] {
+			shares[l][e] = n / total
 		}
 	}
-	return shares, true
+	return shares, len(shares) > 0
 }
 
 func smooth(old, fresh [][]float64, keep float64) [][]float64 {
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -109,7 +109,7 @@
 	p.agent = &agent{
 		mailbox: task.NewMailbox[agentMessage](agentCapacity, task.Block),
 		rank:    mapswitch.NewRank(now), leader: mapswitch.NewLeader(now, p.start), address: o.Settings.LinkListen,
-		links: make(map[*link.Link]uint64), byRank: make(map[ident.Rank]*link.Link),
+		links: make(map[*link.Link]*rankLink), byRank: make(map[ident.Rank]*link.Link),
 		dialers: make(map[string]context.CancelFunc), logger: o.Logger, events: o.Events, metrics: p.metrics,
 		dial: p.dial, order: p.order, assist: p.assist, server: o.Settings.Server,
 	}
