rank: read the store only while leading

All 72 processes beside ranks read the list of backend servers, and only the one that leads dials the others. They now wait until they lead. A list that the store did not give is asked for again after a second instead of four.

--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -78,8 +78,8 @@
 	links   map[*link.Link]*rankLink
 	// sessions numbers the links in the order in which they came up.
 	sessions uint64
-	// leading is the link to the leader whose command came last.
-	leading *link.Link
+	// leaderLink is the link to the leader whose command came last.
+	leaderLink *link.Link
 	// byRank are the links to the other ranks as the leader knows them.
 	byRank  map[ident.Rank]*link.Link
 	dialers map[string]context.CancelFunc
@@ -88,8 +88,10 @@
 	// leads says that the rank is the first of its group, so that this process dials
 	// the others. A link between all of them would be 2,556 links for 72 ranks.
 	leads bool
-	dial  func(ctx context.Context, address string)
-	order func(o mapswitch.Order)
+	// leading takes leads whenever it changes, for the reader of the store.
+	leading *task.Mailbox[bool]
+	dial    func(ctx context.Context, address string)
+	order   func(o mapswitch.Order)
 	// assist gives an order to the engine of another rank.
 	assist func(a mapswitch.Assist)
 	// server is the address of the engine beside this process.
@@ -131,6 +133,7 @@
 		a.carryOut(ctx, now, a.rank.Observe(now, m.state))
 		if leads := m.state.Rank == 0; leads != a.leads {
 			a.leads = leads
+			a.leading.Send(ctx, leads)
 			a.join(ctx)
 		}
 	case loadRead:
@@ -232,8 +235,8 @@
 		a.heard(ctx, now, s)
 		return
 	}
-	if a.leading != nil {
-		a.transmit(a.leading, frame{Status: &s})
+	if a.leaderLink != nil {
+		a.transmit(a.leaderLink, frame{Status: &s})
 	}
 }
 
@@ -311,8 +314,8 @@
 
 func (a *agent) forget(l *link.Link) {
 	delete(a.links, l)
-	if a.leading == l {
-		a.leading = nil
+	if a.leaderLink == l {
+		a.leaderLink = nil
 	}
 	for r, one := range a.byRank {
 		if one == l {
@@ -333,7 +336,7 @@
 	}
 	switch {
 	case f.Command != nil:
-		a.leading = from
+		a.leaderLink = from
 		a.carryOut(ctx, now, a.rank.Receive(now, one.session, *f.Command))
 	case f.Status != nil:
 		if s, known := a.rank.Engine(); known && f.Status.Epoch == s.Epoch && f.Status.Group == s.Group {
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -42,7 +42,10 @@
 	engineLimit = 250 * time.Millisecond
 	// peerInterval is the interval of reading the list of backend servers.
 	peerInterval = 4 * time.Second
-	storeLimit   = time.Second
+	// peerRetry is the same after the store gave no list. A leader that knows no
+	// addresses cannot change the map.
+	peerRetry  = time.Second
+	storeLimit = time.Second
 )
 
 // Options are what the process needs of its surroundings.
@@ -111,7 +114,8 @@
 		rank:    mapswitch.NewRank(now), leader: mapswitch.NewLeader(now, p.start), address: o.Settings.LinkListen,
 		links: make(map[*link.Link]*rankLink), byRank: make(map[ident.Rank]*link.Link),
 		dialers: make(map[string]context.CancelFunc), logger: o.Logger, events: o.Events, metrics: p.metrics,
-		dial: p.dial, order: p.order, assist: p.assist, server: o.Settings.Server,
+		leading: task.NewMailbox[bool](1, task.DropOldest),
+		dial:    p.dial, order: p.order, assist: p.assist, server: o.Settings.Server,
 	}
 	return p, nil
 }
@@ -247,15 +251,26 @@
 	return m, err
 }
 
-// readStore reads the addresses of the other ranks and the model of the engines.
+// readStore reads the addresses of the other ranks and the model of the engines
+// while this process leads. Calls to the store are priced, and the others need
+// neither.
 func (p *process) readStore(ctx context.Context) error {
-	known := false
+	known, leads := false, false
 	for {
-		if !known {
-			known = p.readModel(ctx)
+		// A process that does not lead waits until it does.
+		var due <-chan time.Time
+		if leads {
+			known = known || p.readModel(ctx)
+			pause := peerInterval
+			if !p.readPeers(ctx) {
+				pause = peerRetry
+			}
+			due = time.After(pause/2 + time.Duration(rand.Int64N(int64(pause))))
 		}
-		p.readPeers(ctx)
-		if !task.Sleep(ctx, peerInterval/2+time.Duration(rand.Int64N(int64(peerInterval)))) {
+		select {
+		case leads = <-p.agent.leading.Receive():
+		case <-due:
+		case <-ctx.Done():
 			return nil
 		}
 	}
@@ -282,13 +297,14 @@
 	return true
 }
 
-func (p *process) readPeers(ctx context.Context) {
+// readPeers reports whether the store gave the list.
+func (p *process) readPeers(ctx context.Context) bool {
 	limited, cancel := context.WithTimeout(ctx, storeLimit)
 	defer cancel()
 	_, port, err := net.SplitHostPort(p.options.Settings.LinkListen)
 	if err != nil {
 		p.options.Logger.Error().Err(err).Msg("own address")
-		return
+		return false
 	}
 	var addresses []string
 	after := ""
@@ -296,7 +312,7 @@
 		page, err := p.store.Range(limited, platform.ServersPrefix, after, true)
 		if err != nil {
 			p.options.Logger.Warn().Err(err).Msg("the store did not give the backend servers; the known ranks stay")
-			return
+			return false
 		}
 		for _, i := range page.Items {
 			s, err := platform.DecodeServer(i.Key, i.Value)
@@ -313,4 +329,5 @@
 		after = page.Items[len(page.Items)-1].Key
 	}
 	p.agent.mailbox.Send(ctx, peersRead{addresses: addresses})
+	return true
 }
