gateway: a stream waits no longer than its client does

Cause: a stream that came back after a refusal could wait 2.4 s, and clients abandon a stream after two seconds without an event (four times the latency objective or eight times the gap target if that is longer). They left while they waited, which costs more than a refusal that is true.

--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -8,6 +8,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/decide/intake"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/record"
 )
 
 const (
@@ -21,6 +22,13 @@
 	lateWaitPart = 0.15
 	// returnedWaitPart is the same for a request that came back after a refusal.
 	returnedWaitPart = 0.3
+	// Clients abandon a stream without output after the longest of leastPatience,
+	// targetPatience times the latency objective and gapPatience times the gap target.
+	// patiencePart of that is what a stream may wait; the rest is the engine's.
+	leastPatience  = 2 * time.Second
+	targetPatience = 4
+	gapPatience    = 8
+	patiencePart   = 0.65
 	// firstPart tells a client that comes first from one that comes back after a
 	// refusal: it has at least this part of the route's time left. Clients on their
 	// first try state 0.85 to 1 of it, and one that comes back has waited for a place
@@ -55,6 +63,10 @@
 		w.standing = intake.Returned
 		w.until = now.Add(time.Duration(returnedWaitPart * float64(limit)))
 	}
+	if a.route.Kind == record.Streaming {
+		patience := max(leastPatience, targetPatience*a.route.Target, gapPatience*a.route.GapTarget)
+		w.until = earlier(w.until, now.Add(time.Duration(patiencePart*float64(patience))))
+	}
 	at, _ := slices.BinarySearchFunc(d.waiting, w, compareWaiters)
 	d.waiting = slices.Insert(d.waiting, at, w)
 	if len(d.waiting) > maxWaiting {
@@ -64,6 +76,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // compareWaiters puts those that can still be on time first, then the more
 // urgent, then those that came earlier.
 func compareWaiters(a, b *waiter) int {
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -130,6 +130,18 @@
 	must.False(t, placed(late))
 }
 
+// Guards against a stream that waits until its client abandons it: clients leave
+// two seconds after their request if no event has come, and one that came back
+// waited up to 2.4 s.
+func TestWaitingEndsBeforeTheClientLeaves(t *testing.T) {
+	w := newWaitWorld(t, 1)
+	<-w.ask(0, 0, 0)
+	reply := w.ask(0, 0, 6*time.Second)
+	w.look(1500 * time.Millisecond)
+	must.True(t, placed(reply))
+	must.Eq(t, http.StatusServiceUnavailable, (<-reply).status)
+}
+
 // Guards against a request that is held to the end of its client's time.
 func TestWaitingEnds(t *testing.T) {
 	w := newWaitWorld(t, 1)
