--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -113,11 +113,12 @@
 
 // dispatch is the task that owns what the choice of backend servers depends on.
 type dispatch struct {
-	mailbox  *task.Mailbox[dispatchMessage]
-	domain   ident.FailureDomain
-	random   *rand.Rand
-	routes   *record.Routes
-	servers  []registry.Server
+	mailbox *task.Mailbox[dispatchMessage]
+	domain  ident.FailureDomain
+	random  *rand.Rand
+	routes  *record.Routes
+	// tags are the known backend servers by the tags that entries use among themselves.
+	tags     map[message.ServerTag]ident.ServerID
 	services map[ident.ServiceName]*intake.Service
 	budgets  map[ident.ServiceName]*routing.WindowBudget
 	budget   routing.WindowConfig
@@ -315,7 +316,10 @@
 }
 
 func (d *dispatch) setServers(now time.Time, servers []registry.Server) {
-	d.servers = servers
+	d.tags = make(map[message.ServerTag]ident.ServerID, len(servers))
+	for _, s := range servers {
+		d.tags[message.TagOf(s.ID)] = s.ID
+	}
 	byService := make(map[ident.ServiceName][]registry.Server)
 	for _, s := range servers {
 		byService[s.Service] = append(byService[s.Service], s)
@@ -332,7 +336,9 @@
 	d.entries[m.from] = now
 	byServer := make(map[ident.ServerID]int, len(m.work.Servers))
 	for _, w := range m.work.Servers {
-		byServer[w.Server] = w.Running
+		if id, known := d.tags[w.Server]; known {
+			byServer[id] = w.Running
+		}
 	}
 	demand := make(map[ident.ServiceName]float64, len(m.work.Demand))
 	for _, one := range m.work.Demand {
@@ -363,7 +369,7 @@
 	for name, s := range d.services {
 		w.Demand = append(w.Demand, message.ServiceDemand{Service: name, PerSecond: s.Demand(now)})
 		for id, n := range s.Running() {
-			w.Servers = append(w.Servers, message.ServerWork{Server: id, Running: n})
+			w.Servers = append(w.Servers, message.ServerWork{Server: message.TagOf(id), Running: n})
 		}
 	}
 	return w
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -183,6 +183,17 @@
 	must.NoError(t, group.Stop(0))
 }
 
+// Guards against counts of another entry that are lost on the way: servers travel as
+// tags of two bytes.
+func TestCountsOfAnotherEntryReachTheirServers(t *testing.T) {
+	one, other := newWaitWorld(t, 2), newWaitWorld(t, 2)
+	for range 2 {
+		must.Eq(t, 0, (<-one.ask(0, 0, 0)).status)
+	}
+	other.d.step(waitStart, heardWork{from: "one", work: one.d.work(waitStart)})
+	must.Eq(t, 2, (<-other.ask(0, 0, 0)).state.Running)
+}
+
 // Guards against requests that wait without bound.
 func TestWaitingRequestsAreBounded(t *testing.T) {
 	w := newWaitWorld(t, 1)
--- a/internal/message/hosted.go
+++ b/internal/message/hosted.go
@@ -1,11 +1,28 @@
 package message
 
-import "github.com/anvilpoint/anvilpoint/internal/ident"
+import (
+	"hash/fnv"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+)
+
+// ServerTag stands for a backend server in counts that are sent several times a
+// second to every entry. Two servers with the same tag, which happens in one of 25
+// lists of 75, share their counts.
+type ServerTag uint16
+
+// TagOf returns the tag of a server.
+func TagOf(id ident.ServerID) ServerTag {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // A hash takes all that is written.
+	sum := h.Sum32()
+	return ServerTag(sum>>16) ^ ServerTag(sum)
+}
 
 // ServerWork is the number of requests that an entry has at a backend server.
 type ServerWork struct {
 	_       struct{} `cbor:",toarray"`
-	Server  ident.ServerID
+	Server  ServerTag
 	Running int
 }
 
