--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -21,12 +21,12 @@
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
-// freePorts returns ports that are free on every host.
-func freePorts(t *testing.T, hosts []string, count int) []string {
+// freePorts returns ports that are free at the host.
+func freePorts(t *testing.T, host string, count int) []string {
 	t.Helper()
 	var ports []string
 	for range count {
-		first, err := net.Listen("tcp", net.JoinHostPort(hosts[0], "0"))
+		first, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		must.NoError(t, err)
 		_, port, err := net.SplitHostPort(first.Addr().String())
 		must.NoError(t, err)
@@ -44,7 +44,7 @@
 	engines := platformtest.NewEngineGroup(t, hosts, 12)
 	store := platformtest.NewStore(t)
 	engines.Register(store, "model")
-	ports := freePorts(t, hosts, 2)
+	ports := freePorts(t, hosts[0], 2)
 	ctx, cancel := context.WithCancel(context.Background())
 	group := task.NewGroup(context.Background())
 	for r, host := range hosts {
