gateway, rank, networktest: tests keep their addresses bound until the process listens

The tests chose a port by binding and closing it, and the entry bound it again later. In between any connection on the machine can get the port as its local port, and the entry then ends with "address already in use", which the test did not look at.

Change: networktest.Reserved binds the addresses when the test chooses them and hands the listeners to the process. A test that waits for an entry that has ended says so at once.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,7 +16,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/gateway"
 	"github.com/anvilpoint/anvilpoint/internal/message"
-	"github.com/anvilpoint/anvilpoint/internal/network"
+	"github.com/anvilpoint/anvilpoint/internal/network/networktest"
 	"github.com/anvilpoint/anvilpoint/internal/settings"
 	"github.com/anvilpoint/anvilpoint/platform"
 	"github.com/anvilpoint/anvilpoint/platform/platformtest"
@@ -37,31 +36,25 @@
 	settings *settings.Hosted
 	stop     context.CancelFunc
 	ended    chan error
+	network  *networktest.Reserved
 	client   *http.Client
 	requests int
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // newWorld starts an entry whose store holds the routes and the replicas. The test
 // runs beside others, since each ends with a stop that takes seconds.
 func newWorld(t *testing.T, replicas ...*platformtest.Replica) *world {
 	t.Helper()
 	t.Parallel()
-	w := &world{t: t, store: platformtest.NewStore(t), ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
+	w := &world{t: t, store: platformtest.NewStore(t), ended: make(chan error, 1), network: networktest.NewReserved(), client: &http.Client{Transport: &http.Transport{}}}
 	w.store.Put(platform.ConfigurationKey, platformtest.Document(1, service))
 	for _, r := range replicas {
 		r.Register(w.store, service, "ready")
 	}
+	address := func() string { return w.network.Address(t, "127.0.0.1") }
 	w.settings = &settings.Hosted{
-		Role: message.RoleEntry, Instance: "entry-1", Domain: "z1", Listen: freeAddress(t), ReadyListen: freeAddress(t),
-		LinkListen: freeAddress(t), Metrics: freeAddress(t), Store: w.store.Address(), Grace: 4 * time.Second,
+		Role: message.RoleEntry, Instance: "entry-1", Domain: "z1", Listen: address(), ReadyListen: address(),
+		LinkListen: address(), Metrics: address(), Store: w.store.Address(), Grace: 4 * time.Second,
 		RetryRatio: 0.2, RetrySlack: 188, RetryWindow: 10 * time.Second,
 	}
 	w.start()
@@ -74,7 +67,7 @@
 	group := task.NewGroup(context.Background())
 	group.Go("entry", func(context.Context) error {
 		w.ended <- gateway.Run(ctx, gateway.Options{
-			Settings: w.settings, Logger: zerolog.Nop(), Events: eventlog.Discard(hlc.New(time.Now)), Network: network.System{},
+			Settings: w.settings, Logger: zerolog.Nop(), Events: eventlog.Discard(hlc.New(time.Now)), Network: w.network,
 		})
 		return nil
 	})
@@ -101,7 +94,11 @@
 		if holds() {
 			return
 		}
-		time.Sleep(10 * time.Millisecond)
+		select {
+		case err := <-w.ended:
+			w.t.Fatalf("%s: the entry ended: %v", what, err)
+		case <-time.After(10 * time.Millisecond):
+		}
 	}
 	w.t.Fatalf("%s: did not come true", what)
 }
--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -14,28 +14,13 @@
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/message"
-	"github.com/anvilpoint/anvilpoint/internal/network"
+	"github.com/anvilpoint/anvilpoint/internal/network/networktest"
 	"github.com/anvilpoint/anvilpoint/internal/rank"
 	"github.com/anvilpoint/anvilpoint/internal/settings"
 	"github.com/anvilpoint/anvilpoint/platform/platformtest"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
-// freePorts returns ports that are free at the host.
-func freePorts(t *testing.T, host string, count int) []string {
-	t.Helper()
-	var ports []string
-	for range count {
-		first, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-		must.NoError(t, err)
-		_, port, err := net.SplitHostPort(first.Addr().String())
-		must.NoError(t, err)
-		ports = append(ports, port)
-		defer first.Close()
-	}
-	return ports
-}
-
 // Guards against processes beside ranks that do not find each other, or that end
 // once they do: an agent without its writer passed every test of its parts and
 // ended each leader of a played day 57 times.
@@ -44,18 +29,19 @@
 	engines := platformtest.NewEngineGroup(t, hosts, 12)
 	store := platformtest.NewStore(t)
 	engines.Register(store, "model")
-	ports := freePorts(t, hosts[0], 2)
+	reserved := networktest.NewReserved()
+	links, metrics := reserved.Port(t, hosts...), reserved.Port(t, hosts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	group := task.NewGroup(context.Background())
 	for r, host := range hosts {
 		s := &settings.Hosted{
 			Role: message.RoleSidecar, Instance: ident.InstanceID(fmt.Sprint("side-", r)), Domain: "z1",
-			LinkListen: net.JoinHostPort(host, ports[0]), Metrics: net.JoinHostPort(host, ports[1]),
+			LinkListen: net.JoinHostPort(host, links), Metrics: net.JoinHostPort(host, metrics),
 			Store: store.Address(), Server: engines.Address(r), Service: "model", Grace: 4 * time.Second,
 		}
 		group.Go(string(s.Instance), func(context.Context) error {
 			return rank.Run(ctx, rank.Options{
-				Settings: s, Logger: zerolog.Nop(), Events: eventlog.Discard(hlc.New(time.Now)), Network: network.System{},
+				Settings: s, Logger: zerolog.Nop(), Events: eventlog.Discard(hlc.New(time.Now)), Network: reserved,
 			})
 		})
 	}
