upstream: a request that is given up is reset, so that its unsent bytes do not leave

A cancelled call closed its connection plainly, and the system sends what still waits in the socket after a plain close.

Ruled out by reading: a retry after the client has left (the attempt's context has ended), and the pool (it hands out no connection to a request that has ended).

Change: the connection of a cancelled attempt is closed with a reset.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -107,7 +107,7 @@
 	}
 	// Closing the socket ends a read that waits, and tells the server that nobody
 	// waits for the answer.
-	stop := context.AfterFunc(ctx, func() { _ = connection.socket.Close() })
+	stop := context.AfterFunc(ctx, connection.abort)
 	x := exchange{caller: c, request: r, conn: connection, emit: emit}
 	keep := x.run()
 	if !stop() || !keep {
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -296,6 +297,23 @@
 	collect(events)
 }
 
+// Guards against a request that goes on arriving after it was given up: the bytes
+// that wait in the socket must be dropped, which a plain close does not do.
+func TestCancelDropsWhatHasNotLeft(t *testing.T) {
+	f := newFixture(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	body := make([]byte, 16<<20)
+	events := f.start(ctx, upstream.Request{ID: "1", Body: body, HasBody: true})
+	s := f.accept()
+	_, err := s.reader.ReadByte()
+	must.NoError(t, err)
+	cancel()
+	collect(events)
+	read, err := io.Copy(io.Discard, s.reader)
+	must.ErrorIs(t, err, syscall.ECONNRESET)
+	must.Less(t, int64(len(body)), read)
+}
+
 // Guards against a connection failure that counts as a request that may have run.
 func TestRefusedConnectionIsUnsent(t *testing.T) {
 	f := newFixture(t)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -83,3 +83,15 @@
 	// The connection is given up, so that an error of closing it changes nothing.
 	_ = c.socket.Close()
 }
+
+// abort closes the connection of a request that has been given up. The reset drops
+// what has not left yet: after a plain close the rest of the request would still
+// reach the server, however late.
+func (c *conn) abort() {
+	if tcp, ok := c.socket.(*net.TCPConn); ok {
+		// Without the option the close is a plain one; there is nothing better to do.
+		_ = tcp.SetLinger(0)
+	}
+	// The connection is given up, so that an error of closing it changes nothing.
+	_ = c.socket.Close()
+}
