mapswitch: the engine of rank 0 is held, by another rank's process

Every rank held its own engine before the pass of a change. The platform freezes the machine that has just given a hold, with its engine, so that nobody could release it.

Change: one rank, in turns, holds the engine of rank 0 and answers once more before the change is committed. All ranks arm on the commit. The leader releases its own engine when all have armed, or at once if nothing was committed. A new leader completes a change if its engine is held and all ranks have the map ready, since only then it can have been committed. No pass is used for two changes, and holds that belong to no change are released.

Broken on purpose: a release when some ranks have armed, and a new leader that never completes, are both found.

--- a/internal/decide/mapswitch/leader.go
+++ b/internal/decide/mapswitch/leader.go
@@ -22,10 +22,15 @@
 	beatInterval = 90 * time.Millisecond
 	// statusMemory is how long a status holds.
 	statusMemory = 1500 * time.Millisecond
-	// prepareLimit bounds the copies of a change, promiseLimit the time in which
-	// ranks that have promised may wait for the others.
+	// prepareLimit bounds the copies of a change, holdLimit the order to hold, which is
+	// repeated meanwhile, and confirmLimit the answer of the rank that gave it. All
+	// streams wait from the announced pass on until the last has run out.
 	prepareLimit = 4 * time.Second
-	promiseLimit = 300 * time.Millisecond
+	holdLimit    = 300 * time.Millisecond
+	confirmLimit = 100 * time.Millisecond
+	// releaseAgain is the time between two orders to release the leader's engine, which
+	// answers within a few milliseconds.
+	releaseAgain = 40 * time.Millisecond
 	// assistAfter is how long a rank may take to carry out a decision before the
 	// leader orders its engine itself. All streams of the group wait meanwhile, and
 	// a healthy process needs about a tenth of it.
@@ -33,8 +38,8 @@
 	// assistAgain is the time between two orders of the leader to an engine that
 	// does not answer: its machine may be frozen as well.
 	assistAgain = 300 * time.Millisecond
-	// leadTime is how long before its pass a change is announced. The promises and
-	// the arms take up to 50 ms; a pass that has to wait for them delays every
+	// leadTime is how long before its pass a change is announced. The hold and the
+	// arms take up to 50 ms; a pass that has to wait for them delays every
 	// stream of the group.
 	leadTime = 60 * time.Millisecond
 	// longLeadTime holds while orders stay unanswered and have to be repeated.
@@ -60,7 +65,15 @@
 	version     Version
 	step        uint64
 	content     placement.Map
-	sent        time.Time
+	// lastStep is the greatest pass that a change in this formation may have had. No
+	// pass is used twice, since a late order to release the first change would release
+	// the second.
+	lastStep uint64
+	sent     time.Time
+	// released says that the leader's engine took the order to release the pass, and
+	// releaseAsked is when the leader last gave one.
+	released     bool
+	releaseAsked time.Time
 	// tellers is how many ranks one beat asks what their requests chose, and
 	// nextTeller the first of the next beat.
 	tellers    int
@@ -79,8 +92,6 @@
 type rankView struct {
 	status Status
 	at     time.Time
-	// done says that the leader has carried out the decision at the rank's engine.
-	done bool
 	// armed says that the leader has armed the rank's engine.
 	armed bool
 	// asked is when the leader last ordered the rank's engine.
@@ -91,21 +102,24 @@
 
 var leaderMachine = chart.MustBind(charts.Must("map-leader"), chart.Binding[*Leader]{
 	Guards: map[string]func(*Leader) bool{
-		"someArmed":      (*Leader).unfinishedCommitted,
+		"mayBeCommitted": (*Leader).mayBeCommitted,
 		"someUnfinished": func(l *Leader) bool { return l.some(unfinished) },
 	},
 	Actions: map[string]func(*Leader){
+		"adoptHeld":       (*Leader).adoptHeld,
 		"adoptUnfinished": (*Leader).adoptUnfinished,
 		"chooseStep":      (*Leader).chooseStep,
 	},
 	Delays: map[string]func(*Leader) time.Duration{
 		"prepareLimit": func(*Leader) time.Duration { return prepareLimit },
-		"promiseLimit": func(*Leader) time.Duration { return promiseLimit },
+		"holdLimit":    func(*Leader) time.Duration { return holdLimit },
+		"confirmLimit": func(*Leader) time.Duration { return confirmLimit },
 	},
 	Observe: func(l *Leader, t chart.Transition) {
 		l.sent, l.decided = time.Time{}, l.now
+		l.released, l.releaseAsked = false, time.Time{}
 		for i := range l.ranks {
-			l.ranks[i].done, l.ranks[i].armed, l.ranks[i].asked, l.ranks[i].mapSent = false, false, time.Time{}, time.Time{}
+			l.ranks[i].armed, l.ranks[i].asked, l.ranks[i].mapSent = false, time.Time{}, time.Time{}
 		}
 		if t.From != t.To {
 			l.actions = append(l.actions, Notice{Name: "map.leader-" + t.To, Version: l.version, Step: l.step, Detail: "from " + t.From + " on " + t.Event})
@@ -113,17 +127,24 @@
 	},
 })
 
-// unfinishedCommitted reports whether some rank's status proves that the change
-// that is under way was committed: only then does a rank arm it. A rank that has
-// armed and is released already waits for the others.
-func (l *Leader) unfinishedCommitted() bool {
-	version, _ := l.unfinished()
-	return version != 0 && l.some(func(s Status) bool {
-		return s.Armed == version || s.Version == version && (s.Phase == Arming || s.Phase == Recovered)
-	})
+// held returns the change for whose pass the engine of rank 0 is held, if it is.
+func (l *Leader) held() (version Version, step uint64) {
+	if len(l.ranks) == 0 || l.ranks[0].status.Held == 0 {
+		return 0, 0
+	}
+	s := l.ranks[0].status
+	return max(s.Armed, s.Prepared), s.Held
 }
 
-func unfinished(s Status) bool { return s.Phase != Idle }
+// mayBeCommitted reports whether a predecessor may have committed the change for
+// which the engine of rank 0 is held. It did so only if all ranks had prepared it, and
+// then it can be completed.
+func (l *Leader) mayBeCommitted() bool {
+	version, _ := l.held()
+	return version != 0 && l.all(func(s Status) bool { return s.Prepared == version || s.Armed == version })
+}
+
+func unfinished(s Status) bool { return s.Phase != Idle || s.Held != 0 }
 
 // NewLeader returns a leader that knows no rank.
 func NewLeader(now time.Time, incarnation ident.Incarnation) *Leader {
@@ -138,6 +159,9 @@
 // Watching reports whether a change can be started.
 func (l *Leader) Watching() bool { return l.life.In("watching") }
 
+// Busy reports whether a change is under way.
+func (l *Leader) Busy() bool { return !l.life.In("watching") && !l.life.In("collecting") }
+
 // Statuses returns the statuses of all ranks while no change is under way.
 func (l *Leader) Statuses() []Status {
 	list := make([]Status, len(l.ranks))
@@ -157,7 +181,7 @@
 	if l.group != group || l.epoch != epoch || l.size != size {
 		l.group, l.epoch, l.size = group, epoch, size
 		l.ranks = make([]rankView, size)
-		l.version, l.step, l.content = 0, 0, nil
+		l.version, l.step, l.lastStep, l.content = 0, 0, 0, nil
 		l.passTime, l.begun = 0, 0
 		l.fire("reset")
 	}
@@ -219,47 +243,86 @@
 		l.command()
 		l.assist()
 	}
+	l.release()
 	return l.take()
 }
 
-// assist carries out a decision at the engines of ranks that have promised and
-// whose processes do not follow, for example because they are frozen. The order
-// of the steps is that of the rank itself.
+// assist arms the engines of ranks whose processes do not follow a commit, for
+// example because they are frozen.
 func (l *Leader) assist() {
-	committing := l.life.In("committing")
-	if l.now.Sub(l.decided) < assistAfter || !committing && !l.life.In("aborting") {
+	if !l.life.In("committing") || l.now.Sub(l.decided) < assistAfter {
 		return
 	}
 	for i, r := range l.ranks {
-		// A rank may have held its engine without having told so. Releasing an engine
-		// that is not held changes nothing.
-		if r.done || r.status.Phase == Idle || r.status.Server == "" || l.step == 0 || l.now.Sub(r.asked) < assistAgain {
+		if l.hasArmed(r) || r.status.Server == "" || l.now.Sub(r.asked) < assistAgain {
 			continue
 		}
 		l.ranks[i].asked = l.now
-		o := Order{Kind: OrderGo, Epoch: l.epoch, Version: l.version, Step: l.step}
-		if committing && !r.armed {
-			o.Kind = OrderArm
+		l.assistRank(i, OrderArm, l.step)
+	}
+}
+
+func (l *Leader) assistRank(i int, kind OrderKind, step uint64) {
+	l.actions = append(l.actions, Assist{
+		Rank: ident.Rank(i), Server: l.ranks[i].status.Server,
+		Order: Order{Kind: kind, Epoch: l.epoch, Version: l.version, Step: step},
+	})
+}
+
+// release lets the group go on: at the end of a change, and when an engine is held
+// for no change, by a late copy of an order.
+func (l *Leader) release() {
+	if len(l.ranks) == 0 || l.life.In("collecting") || l.now.Sub(l.releaseAsked) < releaseAgain {
+		return
+	}
+	if l.life.In("releasing") || l.life.In("aborting") && l.step != 0 && !l.released {
+		l.releaseAsked = l.now
+		l.assistRank(0, OrderGo, l.step)
+		return
+	}
+	for i, r := range l.ranks {
+		if r.status.Held == 0 || l.wantsHeld(r.status.Held) {
+			continue
+		}
+		if l.life.In("watching") && l.partlyArmed() {
+			// A predecessor's change was committed and is not complete.
+			l.fire("lost")
+			return
 		}
-		l.actions = append(l.actions, Assist{Rank: ident.Rank(i), Server: r.status.Server, Order: o})
+		l.releaseAsked = l.now
+		l.assistRank(i, OrderGo, r.status.Held)
 	}
 }
 
+// wantsHeld reports whether the change under way needs the pass to wait.
+func (l *Leader) wantsHeld(step uint64) bool {
+	return step == l.step && (l.life.In("holding") || l.life.In("confirming") || l.life.In("committing"))
+}
+
+// partlyArmed reports whether some ranks have armed a change and others have not.
+func (l *Leader) partlyArmed() bool {
+	armed := func(s Status) bool { return s.Armed != 0 }
+	return l.some(armed) && !l.all(armed)
+}
+
+// hasArmed reports whether the rank's engine has armed the change, or uses it already.
+func (l *Leader) hasArmed(r rankView) bool {
+	return r.armed || r.status.Armed == l.version || r.status.Map >= l.version
+}
+
 // Assisted takes the end of an order that the leader gave to a rank's engine.
 func (l *Leader) Assisted(now time.Time, rank ident.Rank, o Order, result Result) []Action {
 	l.now = now
-	if o.Epoch != l.epoch || o.Version != l.version || int(rank) >= len(l.ranks) || result != Accepted {
+	if o.Epoch != l.epoch || int(rank) >= len(l.ranks) || result != Accepted {
 		return l.take()
 	}
-	r := &l.ranks[rank]
-	switch o.Kind {
-	case OrderArm:
-		r.armed, r.asked = l.life.In("committing"), time.Time{}
-		l.assist()
-	case OrderGo:
-		r.done = true
-		l.advance()
+	switch {
+	case o.Kind == OrderArm && o.Version == l.version && l.life.In("committing"):
+		l.ranks[rank].armed = true
+	case o.Kind == OrderGo && rank == 0 && o.Step == l.step && (l.life.In("releasing") || l.life.In("aborting")):
+		l.released = true
 	}
+	l.advance()
 	return l.take()
 }
 
@@ -297,6 +360,7 @@
 			return
 		}
 		l.command()
+		l.release()
 	}
 }
 
@@ -314,35 +378,56 @@
 		if l.all(func(s Status) bool { return s.Version == l.version && s.Phase == Prepared }) {
 			l.fire("allPrepared")
 		}
-	case "promising":
-		switch {
-		case l.some(func(s Status) bool { return s.Version == l.version && s.Phase == Refused }):
+	case "holding":
+		switch giver := l.ranks[l.giver()].status; {
+		case giver.Version != l.version:
+		case giver.Phase == Refused:
 			l.fire("refused")
-		case l.all(func(s Status) bool { return s.Version == l.version && s.Phase == Promised && s.Step == l.step }):
-			l.fire("allPromised")
+		case giver.Phase == Holds && giver.Step == l.step:
+			l.fire("held")
+		}
+	case "confirming":
+		if giver := l.ranks[l.giver()].status; giver.Version == l.version && giver.Phase == Confirmed {
+			l.fire("confirmed")
 		}
 	case "committing":
-		if l.settled() {
-			l.fire("allReleased")
+		if !slices.ContainsFunc(l.ranks, func(r rankView) bool { return !l.hasArmed(r) }) {
+			l.fire("allArmed")
+		}
+	case "releasing":
+		if l.released || l.ranks[0].status.Begun >= l.step {
+			l.fire("released")
 		}
 	case "aborting":
-		if l.settled() {
+		if (l.step == 0 || l.released) && !l.some(unfinished) {
 			l.fire("allIdle")
 		}
 	}
 }
 
-// settled reports whether every rank's engine is released.
-func (l *Leader) settled() bool {
-	return len(l.ranks) > 0 && !slices.ContainsFunc(l.ranks, func(r rankView) bool { return !r.done && r.status.Phase != Idle })
+// giver returns the rank that gives the hold. The ranks take turns, since an order to
+// another machine's engine has a price.
+func (l *Leader) giver() int {
+	if len(l.ranks) < 2 {
+		return 0
+	}
+	return 1 + int(l.version%Version(len(l.ranks)-1))
 }
 
-// chooseStep picks a pass that no rank has begun.
+// chooseStep picks a pass that no rank has begun and no other change has had.
 func (l *Leader) chooseStep() {
+	begun, used := uint64(0), false
 	for _, r := range l.ranks {
-		l.step = max(l.step, r.status.Begun)
+		begun = max(begun, r.status.Begun)
+		used = used || r.status.Highest != 0
 	}
-	l.step += l.margin()
+	if l.lastStep == 0 && used {
+		// A predecessor chose at most mostMargin passes ahead, and one more for each
+		// change that it gave up before a pass began.
+		l.lastStep = begun + 2*mostMargin
+	}
+	l.step = max(begun+l.margin(), l.lastStep+1)
+	l.lastStep = l.step
 }
 
 // margin is the number of passes that take the lead time.
@@ -380,8 +465,17 @@
 	return version, step
 }
 
-// adoptUnfinished takes up the change that a predecessor left.
-func (l *Leader) adoptUnfinished() { l.version, l.step = l.unfinished() }
+// adoptHeld takes up the change that a predecessor may have committed.
+func (l *Leader) adoptHeld() {
+	l.version, l.step = l.held()
+	l.lastStep = max(l.lastStep, l.step+mostMargin)
+}
+
+// adoptUnfinished takes up the change that a predecessor did not commit.
+func (l *Leader) adoptUnfinished() {
+	l.version, _ = l.unfinished()
+	_, l.step = l.held()
+}
 
 // command sends the ranks what the leader's state wants of them.
 func (l *Leader) command() {
@@ -390,8 +484,10 @@
 	switch l.life.State() {
 	case "preparing":
 		c.Verb, c.Map = Prepare, l.content
-	case "promising":
-		c.Verb = Promise
+	case "holding":
+		c.Verb, c.Server = Hold, l.ranks[0].status.Server
+	case "confirming":
+		c.Verb = Confirm
 	case "committing":
 		c.Verb = Commit
 		invariant.Check(l.version != 0, "a commit names a version", "step %d", l.step)
@@ -400,6 +496,9 @@
 	}
 	for i, r := range l.ranks {
 		one := c
+		if (c.Verb == Hold || c.Verb == Confirm) && i != l.giver() || c.Verb == Commit && l.hasArmed(r) {
+			continue
+		}
 		switch {
 		case c.Verb == Prepare && (r.status.Version == l.version && r.status.Phase != Idle || l.now.Sub(r.mapSent) < resendMap):
 			// The rank has the map, or will have it soon.
--- a/internal/decide/mapswitch/mapswitch_test.go
+++ b/internal/decide/mapswitch/mapswitch_test.go
@@ -69,6 +69,23 @@
 	}
 }
 
+// Guards against a group that waits for a machine that froze, with its engine, right
+// after it gave a hold: in trouble-2 of tfl-biogas and gz-kostenwerk the group stood
+// still for 3.9 s.
+func TestGroupRunsOnWhileTheGiverOfAHoldIsFrozen(t *testing.T) {
+	longest := time.Duration(0)
+	for seed := uint64(0); seed < 50; seed++ {
+		w := newWorld(t, seed, 6)
+		w.run(w.between(time.Second, 3*time.Second))
+		w.freezeGiver = true
+		w.run(10 * time.Second)
+		must.False(t, w.freezeGiver)
+		longest = max(longest, w.stalled)
+	}
+	t.Logf("longest stall %s", longest)
+	must.Less(t, time.Second, longest)
+}
+
 // Guards against a plan from the experts of the map before: a rank reads what its
 // engine holds some time after a change, and an engine refuses a map with more new
 // experts than it takes.
--- a/internal/decide/mapswitch/message.go
+++ b/internal/decide/mapswitch/message.go
@@ -2,17 +2,23 @@
 // the group's expert map together, for engines that form their groups
 // themselves and can be held before a pass.
 //
-// The process beside rank 0 leads. Every rank first prepares the map and then
-// holds its engine before one agreed pass, which is its promise. When all have
-// promised, the change is committed: each rank arms the map for that pass, and
-// releases its engine only after the engine has confirmed. The pass begins when
-// the last rank is released, so all ranks have armed then. No rank arms an
-// uncommitted change, and a committed change is always completed.
+// The process beside rank 0 leads. Every rank first prepares the map. Then one
+// other rank holds the engine of rank 0 before one agreed pass, by an order from its
+// own machine, and confirms once more that it is there. Then the change is committed:
+// each rank arms the map for that pass, and the leader releases its engine when all
+// have. Without the engine of rank 0 the group begins no pass, so all ranks have
+// armed before it begins. No rank arms an uncommitted change, and a committed change
+// is always completed.
 //
-// Orders to an engine may stay unanswered and be carried out later. Each order
-// is repeated until it is confirmed, by an answer or by the engine's report. A
-// late copy of an order does no harm: the engine refuses a version that is not
-// new, and a pass that has begun.
+// The machine that gives a hold may freeze right after it, and then its own engine
+// cannot be reached either. So no process holds the engine beside it: while nothing
+// is committed, the leader releases its engine and the group goes on.
+//
+// Orders to an engine may stay unanswered and be carried out later. Each order is
+// repeated until it is confirmed, by an answer or by the engine's report. A late
+// copy does no harm: the engine refuses a version that is not new and a pass that has
+// begun, no two changes have the same pass, and a hold that belongs to no change is
+// released.
 package mapswitch
 
 import (
@@ -57,10 +63,9 @@
 	Prepared  Phase = "prepared"
 	Holding   Phase = "holding"
 	Refused   Phase = "refused"
-	Promised  Phase = "promised"
-	Recovered Phase = "recovered"
+	Holds     Phase = "holds"
+	Confirmed Phase = "confirmed"
 	Arming    Phase = "arming"
-	Releasing Phase = "releasing"
 )
 
 // Verb is what the leader wants of the ranks.
@@ -72,12 +77,14 @@
 	Beat Verb = iota + 1
 	// Prepare asks the rank to make the map ready.
 	Prepare
-	// Promise asks the rank to hold its engine before the pass.
-	Promise
-	// Commit says that all ranks have promised.
+	// Hold asks the rank to hold the engine of rank 0 before the pass.
+	Hold
+	// Commit says that all ranks are prepared and the engine of rank 0 is held.
 	Commit
 	// Abort says that the change is not made.
 	Abort
+	// Confirm asks the rank that gave the hold whether it is still there.
+	Confirm
 )
 
 // Command goes from the leader to a rank.
@@ -93,6 +100,8 @@
 	Map placement.Map `cbor:"-"`
 	// Tell asks the rank what its requests chose.
 	Tell bool `cbor:"8,keyasint,omitempty"`
+	// Server is the host and port of the engine that is to be held.
+	Server string `cbor:"9,keyasint,omitempty"`
 }
 
 // Status goes from a rank to the leader.
@@ -114,6 +123,10 @@
 	Highest Version `cbor:"10,keyasint,omitempty"`
 	// Armed is the version that the engine has armed and that is not in use yet.
 	Armed Version `cbor:"11,keyasint,omitempty"`
+	// Prepared is the version that the engine has ready, and Held the pass that it
+	// does not begin.
+	Prepared Version `cbor:"17,keyasint,omitempty"`
+	Held     uint64  `cbor:"18,keyasint,omitempty"`
 	// Server is the host and port of the rank's engine.
 	Server string `cbor:"14,keyasint,omitempty"`
 	// Pace is the rank's time for the same work relative to a healthy rank's.
@@ -163,11 +176,14 @@
 // Action is what Step returns.
 type Action interface{ isAction() }
 
-// Instruct gives an order to the engine.
-type Instruct struct{ Order Order }
+// Instruct gives an order to the engine beside the process, or to the one at Server.
+type Instruct struct {
+	Order  Order
+	Server string
+}
 
-// Assist gives an order to the engine of another rank, whose process does not
-// carry out the decision.
+// Assist is an order of the leader to the engine of a rank: to its own, or to that of
+// a rank whose process does not carry out the decision.
 type Assist struct {
 	Rank   ident.Rank
 	Server string
--- a/internal/decide/mapswitch/rank.go
+++ b/internal/decide/mapswitch/rank.go
@@ -31,10 +31,12 @@
 	version Version
 	step    uint64
 	content placement.Map
+	// server is the engine that this rank is to hold.
+	server  string
 	highest Version
 	// confirmed says that the engine accepted the order to prepare.
 	confirmed bool
-	// committed says that all ranks have promised the change.
+	// committed says that all ranks are prepared and the pass is held.
 	committed bool
 	// unanswered is when an order last stayed unanswered.
 	unanswered time.Time
@@ -50,9 +52,8 @@
 	},
 	Actions: map[string]func(*Rank){
 		"orderPrepare": func(r *Rank) { r.order(OrderPrepare) },
-		"orderHold":    func(r *Rank) { r.order(OrderHold) },
+		"orderHold":    (*Rank).orderHold,
 		"orderArm":     (*Rank).orderArm,
-		"orderGo":      func(r *Rank) { r.order(OrderGo) },
 	},
 	Delays: map[string]func(*Rank) time.Duration{
 		"orderLimit": func(*Rank) time.Duration { return orderLimit },
@@ -121,6 +122,12 @@
 	r.actions = append(r.actions, Instruct{Order: o})
 }
 
+func (r *Rank) orderHold() {
+	r.actions = append(r.actions, Instruct{
+		Order: Order{Kind: OrderHold, Epoch: r.state.Epoch, Version: r.version, Step: r.step}, Server: r.server,
+	})
+}
+
 func (r *Rank) orderArm() {
 	invariant.Check(r.committed, "only a committed map is armed", "version %d, step %d", r.version, r.step)
 	r.order(OrderArm)
@@ -134,71 +141,26 @@
 		r.fire("reset")
 		r.highest = 0
 	}
-	first := !r.known
-	r.moved = r.moved || s.Map != r.state.Map || s.Armed != r.state.Armed
+	r.moved = r.moved || s.Map != r.state.Map || s.Armed != r.state.Armed || s.Held != r.state.Held
 	r.state, r.known = s, true
 	r.highest = max(r.highest, s.Map, s.Prepared, s.Armed)
-	if first {
-		r.recover()
-	}
 	switch r.Phase() {
+	case Idle:
 	case Preparing, Copying:
 		if s.Prepared == r.version {
 			r.fire("prepared")
 		}
-	case Holding:
-		switch {
-		case s.Held == r.step:
-			r.fire("held")
-		case s.Step >= r.step:
-			r.fire("late")
+	default:
+		if s.Map >= r.version {
+			r.fire("passed")
 		}
-	case Promised, Recovered:
-		r.passed()
-	case Arming:
-		r.passed()
 		if s.Armed == r.version {
 			r.fire("armed")
 		}
-	case Releasing:
-		if s.Held != r.step {
-			r.fire("released")
-		}
-	case Idle:
-		r.releaseStray()
 	}
 	return r.take()
 }
 
-// passed ends a change whose pass has begun: every rank was released before.
-func (r *Rank) passed() {
-	if r.state.Step >= r.step && r.state.Held != r.step {
-		r.fire("passed")
-	}
-}
-
-// recover takes up what a predecessor of this process left at the engine.
-func (r *Rank) recover() {
-	s := r.state
-	switch {
-	case s.Armed != 0 && s.Held != 0:
-		r.version, r.step = s.Armed, s.Held
-		r.fire("foundArmed")
-	case s.Held != 0:
-		r.version, r.step = s.Prepared, s.Held
-		r.fire("foundHeld")
-	}
-}
-
-// releaseStray releases an engine that a late copy of an order has held.
-func (r *Rank) releaseStray() {
-	if r.state.Held == 0 {
-		return
-	}
-	r.step = r.state.Held
-	r.order(OrderGo)
-}
-
 // Answered takes the end of an order.
 func (r *Rank) Answered(now time.Time, o Order, result Result) []Action {
 	r.now = now
@@ -215,13 +177,13 @@
 	case o.Kind == OrderHold && o.Step == r.step && r.Phase() == Holding:
 		if accepted {
 			r.fire("held")
+		} else {
+			r.fire("late")
 		}
 	case o.Kind == OrderArm && o.Version == r.version && accepted && r.Phase() == Arming:
 		// A new leader must learn at once that the change was committed.
 		r.state.Armed = r.version
 		r.fire("armed")
-	case o.Kind == OrderGo && o.Step == r.step && accepted && r.Phase() == Releasing:
-		r.fire("released")
 	}
 	return r.take()
 }
@@ -252,14 +214,18 @@
 			r.highest = c.Version
 			r.fire("prepare")
 		}
-	case Promise:
+	case Hold:
 		if c.Version == r.version && r.Phase() == Prepared {
-			r.step = c.Step
+			r.step, r.server = c.Step, c.Server
 			r.fire("hold")
 		}
+	case Confirm:
+		if c.Version == r.version && c.Step == r.step {
+			r.fire("confirm")
+		}
 	case Commit:
-		if c.Version == r.version && (r.Phase() == Promised || r.Phase() == Recovered) {
-			r.committed = true
+		if c.Version == r.version && r.Phase() != Idle || r.left(c.Version) {
+			r.version, r.step, r.committed = c.Version, c.Step, true
 			r.fire("commit")
 		}
 	case Abort:
@@ -269,12 +235,18 @@
 	}
 }
 
+// left reports whether a predecessor of this process has prepared the version and
+// the engine has not armed it.
+func (r *Rank) left(v Version) bool {
+	return r.Phase() == Idle && r.state.Prepared == v && r.state.Armed != v && r.state.Map < v
+}
+
 // Status returns what the leader needs to know.
 func (r *Rank) Status() Status {
 	return Status{
 		Leader: r.leader, Group: r.state.Group, Epoch: r.state.Epoch, Rank: r.state.Rank, Phase: r.Phase(),
 		Version: r.version, Step: r.step, Begun: r.state.Step, Map: r.state.Map, Highest: r.highest,
-		Armed: r.state.Armed, Pace: r.state.Pace,
+		Armed: r.state.Armed, Prepared: r.state.Prepared, Held: r.state.Held, Pace: r.state.Pace,
 		Unanswered: !r.unanswered.IsZero() && r.now.Sub(r.unanswered) < unansweredMemory,
 	}
 }
--- a/internal/decide/mapswitch/world_test.go
+++ b/internal/decide/mapswitch/world_test.go
@@ -31,7 +31,11 @@
 	// freezeOn makes a process other than the leader's stand still for four seconds
 	// right after its first order of the kind.
 	freezeOn mapswitch.OrderKind
-	switches int
+	// freezeGiver makes the machine that gives the next hold stand still for four
+	// seconds right after the engine took it, with its own engine, which the group's
+	// passes do not wait for.
+	freezeGiver bool
+	switches    int
 	// reports counts the statuses that were sent to the leader.
 	reports int
 	stalled time.Duration
@@ -43,6 +47,8 @@
 	current, prepared, armed mapswitch.Version
 	highest                  mapswitch.Version
 	armedStep, held          uint64
+	// silent is until when the engine answers nothing.
+	silent time.Time
 }
 
 // fakeProcess is the process beside a rank.
@@ -182,8 +188,8 @@
 // give sends an order, which may be lost, stay unanswered, or be carried out
 // seconds later.
 func (w *world) give(e *fakeEngine, o mapswitch.Order, answered func(mapswitch.Result)) {
-	if w.chance(w.unanswered) {
-		if w.chance(w.late) {
+	if w.now.Before(e.silent) || w.chance(w.unanswered) {
+		if w.now.After(e.silent) && w.chance(w.late) {
 			w.after(w.between(500*time.Millisecond, 6*time.Second), func() { w.order(e, o) })
 		}
 		w.after(250*time.Millisecond, func() { answered(mapswitch.Unanswered) })
@@ -268,7 +274,18 @@
 				w.freezeOn = ""
 				p.frozen = w.now.Add(4 * time.Second)
 			}
-			w.give(w.engines[r], a.Order, func(result mapswitch.Result) {
+			engine := w.engines[r]
+			if a.Server != "" {
+				engine = w.engines[0]
+			}
+			if w.freezeGiver && a.Order.Kind == mapswitch.OrderHold {
+				w.freezeGiver = false
+				w.after(w.between(3*time.Millisecond, 4*time.Millisecond), func() {
+					p.frozen = w.now.Add(4 * time.Second)
+					w.engines[r].silent = p.frozen
+				})
+			}
+			w.give(engine, a.Order, func(result mapswitch.Result) {
 				w.awake(r, p, func() { w.carryOut(r, p, p.rank.Answered(w.now, a.Order, result)) })
 			})
 		case mapswitch.Assist:
--- a/internal/rank/agent.go
+++ b/internal/rank/agent.go
@@ -42,7 +42,7 @@
 		order  mapswitch.Order
 		result mapswitch.Result
 	}
-	// assistEnded ends an order to the engine of another rank.
+	// assistEnded ends an order of the leader to the engine of a rank.
 	assistEnded struct {
 		rank   ident.Rank
 		order  mapswitch.Order
@@ -99,8 +99,9 @@
 	dial    func(ctx context.Context, address string)
 	// write sends a message on a link.
 	write func(l *link.Link, m message.Message) bool
-	order func(o mapswitch.Order)
-	// assist gives an order to the engine of another rank.
+	// order gives an order to the engine beside this process, or to another one.
+	order func(i mapswitch.Instruct)
+	// assist gives an order of the leader to the engine of a rank.
 	assist func(a mapswitch.Assist)
 	// server is the address of the engine beside this process.
 	server string
@@ -161,7 +162,7 @@
 		a.planner.model = m.model
 		a.leader.Ask(tellers(m.model))
 	case askBusy:
-		m.reply <- a.rank.Busy()
+		m.reply <- a.rank.Busy() || a.leads && a.leader.Busy()
 	}
 }
 
@@ -219,10 +220,12 @@
 	for _, one := range actions {
 		switch one := one.(type) {
 		case mapswitch.Instruct:
-			a.order(one.Order)
+			a.order(one)
 		case mapswitch.Assist:
-			a.logger.Warn().Int("rank", int(one.Rank)).Str("order", string(one.Order.Kind)).Uint64("version", uint64(one.Order.Version)).
-				Msg("the process beside the rank does not follow; its engine is ordered from here")
+			if one.Rank != 0 {
+				a.logger.Warn().Int("rank", int(one.Rank)).Str("order", string(one.Order.Kind)).Uint64("version", uint64(one.Order.Version)).
+					Msg("the process beside the rank does not follow; its engine is ordered from here")
+			}
 			a.assist(one)
 		case mapswitch.Report:
 			a.report(ctx, now, one)
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -165,22 +165,29 @@
 }
 
 // order carries out one order and reports its end.
-func (p *process) order(o mapswitch.Order) {
+func (p *process) order(i mapswitch.Instruct) {
 	p.group.Go("engine order", func(ctx context.Context) error {
-		p.agent.mailbox.Send(ctx, orderEnded{order: o, result: p.instruct(ctx, p.engine, o)})
+		p.agent.mailbox.Send(ctx, orderEnded{order: i.Order, result: p.instruct(ctx, p.engineAt(i.Server), i.Order)})
 		return nil
 	})
 }
 
-// assist carries out one order at the engine of another rank.
+// assist carries out one order of the leader at the engine of a rank.
 func (p *process) assist(a mapswitch.Assist) {
 	p.group.Go("engine order", func(ctx context.Context) error {
-		engine := &platform.Engine{Address: a.Server, Client: p.engine.Client}
-		p.agent.mailbox.Send(ctx, assistEnded{rank: a.Rank, order: a.Order, result: p.instruct(ctx, engine, a.Order)})
+		p.agent.mailbox.Send(ctx, assistEnded{rank: a.Rank, order: a.Order, result: p.instruct(ctx, p.engineAt(a.Server), a.Order)})
 		return nil
 	})
 }
 
+// engineAt returns the engine at the host and port, or the one beside this process.
+func (p *process) engineAt(address string) *platform.Engine {
+	if address == "" {
+		return p.engine
+	}
+	return &platform.Engine{Address: address, Client: p.engine.Client}
+}
+
 func (p *process) instruct(ctx context.Context, engine *platform.Engine, o mapswitch.Order) mapswitch.Result {
 	limited, cancel := context.WithTimeout(ctx, engineLimit)
 	defer cancel()
