mapswitch: a reading from before an order no longer hides what it did

Found on the way: the first change of a formation was put off by 16 passes, since its own version counted as a predecessor's; and the ranks were asked for their statuses once more while the leader released its engine.

Change: the rank keeps what its engine has confirmed until its map is in use; the leader looks for a predecessor's change only at passes that are not its own; a predecessor is known by the versions before the proposal; no beat while releasing.

Each has a test that fails without it.

--- a/internal/decide/mapswitch/leader.go
+++ b/internal/decide/mapswitch/leader.go
@@ -208,6 +208,11 @@
 	for _, r := range l.ranks {
 		highest = max(highest, r.status.Highest)
 	}
+	if l.lastStep == 0 && highest != 0 {
+		// A predecessor chose at most mostMargin passes ahead, and one more for each
+		// change that it gave up before a pass began.
+		l.lastStep = l.begunByAny() + 2*mostMargin
+	}
 	l.version, l.step, l.content = highest+1, 0, m
 	l.fire("plan")
 	l.command()
@@ -284,8 +289,9 @@
 		if r.status.Held == 0 || l.wantsHeld(r.status.Held) {
 			continue
 		}
-		if l.life.In("watching") && l.partlyArmed() {
-			// A predecessor's change was committed and is not complete.
+		if l.life.In("watching") && r.status.Held != l.step && l.partlyArmed() {
+			// A predecessor's change was committed and is not complete. The leader's own
+			// change was complete when it was released; the status may be older.
 			l.fire("lost")
 			return
 		}
@@ -416,18 +422,18 @@
 
 // chooseStep picks a pass that no rank has begun and no other change has had.
 func (l *Leader) chooseStep() {
-	begun, used := uint64(0), false
+	begun := l.begunByAny()
+	l.step = max(begun+l.margin(), l.lastStep+1)
+	l.lastStep = l.step
+}
+
+// begunByAny is the last pass that some rank has begun.
+func (l *Leader) begunByAny() uint64 {
+	begun := uint64(0)
 	for _, r := range l.ranks {
 		begun = max(begun, r.status.Begun)
-		used = used || r.status.Highest != 0
 	}
-	if l.lastStep == 0 && used {
-		// A predecessor chose at most mostMargin passes ahead, and one more for each
-		// change that it gave up before a pass began.
-		l.lastStep = begun + 2*mostMargin
-	}
-	l.step = max(begun+l.margin(), l.lastStep+1)
-	l.lastStep = l.step
+	return begun
 }
 
 // margin is the number of passes that take the lead time.
@@ -480,6 +486,11 @@
 // command sends the ranks what the leader's state wants of them.
 func (l *Leader) command() {
 	l.sent = l.now
+	if l.life.In("releasing") {
+		// Only the leader's own engine is ordered, and the beat that follows it comes
+		// within milliseconds. A beat fills the leader's link for as long.
+		return
+	}
 	c := Command{Verb: Beat, Leader: l.incarnation, Group: l.group, Epoch: l.epoch, Version: l.version, Step: l.step}
 	switch l.life.State() {
 	case "preparing":
--- a/internal/decide/mapswitch/mapswitch_test.go
+++ b/internal/decide/mapswitch/mapswitch_test.go
@@ -86,6 +86,55 @@
 	must.Less(t, time.Second, longest)
 }
 
+// Guards against a leader that waits for a rank which has armed: a reading of the
+// engine that began before the order showed nothing armed, the rank told so, and every
+// change of a group of 72 waited for the next command, 60 ms later.
+func TestLateReadingDoesNotHideThatTheRankHasArmed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := mapswitch.NewRank(now)
+	engine := mapswitch.EngineState{Group: "g", Epoch: 1, Rank: 3, Size: 4, Open: true, Step: 10}
+	r.Observe(now, engine)
+	command := mapswitch.Command{Verb: mapswitch.Prepare, Leader: 7, Group: "g", Epoch: 1, Version: 1, Map: oneLayer(4)}
+	r.Receive(now, 1, command)
+	engine.Prepared = 1
+	r.Observe(now, engine)
+	command.Verb, command.Step = mapswitch.Commit, 12
+	r.Receive(now, 1, command)
+	must.Eq(t, mapswitch.Arming, r.Phase())
+	r.Answered(now, mapswitch.Order{Kind: mapswitch.OrderArm, Epoch: 1, Version: 1, Step: 12}, mapswitch.Accepted)
+	r.Observe(now, engine)
+	must.Eq(t, mapswitch.Version(1), r.Status().Armed)
+	r.Receive(now, 1, command)
+	must.Eq(t, mapswitch.Idle, r.Phase())
+	engine.Map, engine.Prepared, engine.Step = 1, 0, 12
+	r.Observe(now, engine)
+	must.Eq(t, mapswitch.Version(0), r.Status().Armed)
+}
+
+// Guards against a leader that takes its own change for one that a predecessor left,
+// since a reading from before the release shows its engine held: it then forgot the
+// map in use and planned a second later.
+func TestCalmLeaderKeepsItsChange(t *testing.T) {
+	for seed := uint64(0); seed < 20; seed++ {
+		w := newWorld(t, seed, 8)
+		w.run(20 * time.Second)
+		// It collects the statuses at most once, at its start.
+		must.LessEq(t, 1, w.notices["map.leader-collecting"], must.Sprintf("seed %d", seed))
+	}
+}
+
+// Guards against a first change of a formation that waits as if a predecessor of the
+// leader had announced passes. A leader announces at most eight passes ahead.
+func TestFirstChangeIsNotPutOff(t *testing.T) {
+	for seed := uint64(0); seed < 20; seed++ {
+		w := newWorld(t, seed, 8)
+		for w.notices["map.leader-holding"] == 0 {
+			w.run(time.Millisecond)
+		}
+		must.LessEq(t, 8, w.ahead, must.Sprintf("seed %d", seed))
+	}
+}
+
 // Guards against a plan from the experts of the map before: a rank reads what its
 // engine holds some time after a change, and an engine refuses a map with more new
 // experts than it takes.
--- a/internal/decide/mapswitch/rank.go
+++ b/internal/decide/mapswitch/rank.go
@@ -38,6 +38,9 @@
 	confirmed bool
 	// committed says that all ranks are prepared and the pass is held.
 	committed bool
+	// armed is the version that the engine last took the order to arm for. A reading
+	// that began before that shows nothing armed.
+	armed Version
 	// unanswered is when an order last stayed unanswered.
 	unanswered time.Time
 	// moved says that the phase or the map has changed since the last status.
@@ -139,7 +142,10 @@
 	if r.known && (s.Epoch != r.state.Epoch || s.Group != r.state.Group || s.Rank != r.state.Rank) {
 		// A new formation starts with map 0 and nothing prepared, armed or held.
 		r.fire("reset")
-		r.highest = 0
+		r.highest, r.armed = 0, 0
+	}
+	if s.Armed == 0 && s.Map < r.armed {
+		s.Armed = r.armed
 	}
 	r.moved = r.moved || s.Map != r.state.Map || s.Armed != r.state.Armed || s.Held != r.state.Held
 	r.state, r.known = s, true
@@ -182,7 +188,7 @@
 		}
 	case o.Kind == OrderArm && o.Version == r.version && accepted && r.Phase() == Arming:
 		// A new leader must learn at once that the change was committed.
-		r.state.Armed = r.version
+		r.state.Armed, r.armed = r.version, r.version
 		r.fire("armed")
 	}
 	return r.take()
--- a/internal/decide/mapswitch/world_test.go
+++ b/internal/decide/mapswitch/world_test.go
@@ -36,6 +36,10 @@
 	// passes do not wait for.
 	freezeGiver bool
 	switches    int
+	// notices counts what was noted, by name.
+	notices map[string]int
+	// ahead is how many passes ahead the last change was announced.
+	ahead int
 	// reports counts the statuses that were sent to the leader.
 	reports int
 	stalled time.Duration
@@ -84,7 +88,7 @@
 }
 
 func newWorld(t *testing.T, seed uint64, ranks int) *world {
-	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), epoch: 1}
+	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), epoch: 1, notices: make(map[string]int)}
 	for r := range ranks {
 		w.engines = append(w.engines, &fakeEngine{})
 		w.procs = append(w.procs, nil)
@@ -296,6 +300,11 @@
 			a.Status.Server = "engine"
 			w.reports++
 			w.transmit(0, func(to *fakeProcess) { w.carryOut(0, to, to.leader.Receive(w.now, a.Status)) })
+		case mapswitch.Notice:
+			w.notices[a.Name]++
+			if a.Name == "map.leader-holding" {
+				w.ahead = int(a.Step - w.step)
+			}
 		case mapswitch.Send:
 			session := p.session
 			w.transmit(int(a.To), func(to *fakeProcess) { w.carryOut(int(a.To), to, to.rank.Receive(w.now, session, a.Command)) })
