gateway: the test of a leaving server waits for 64 calls in a row

Eight calls may go to the other replica by chance before the entry has read that one is leaving, and the calls after them then reach it (seen once, alone).

Change: the awaited condition itself is 64 calls in a row.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -243,7 +243,8 @@
 	first.Register(w.store, service, "draining")
 	only := func(id string) func() bool {
 		return func() bool {
-			for range 8 {
+			// Eight calls in a row go to one of two replicas by chance now and then.
+			for range 64 {
 				if w.call(http.MethodGet, "/safe/x", key, "").body != id {
 					return false
 				}
@@ -252,10 +253,6 @@
 		}
 	}
 	w.eventually("the draining replica gets no work", only("i-2"))
-	// Chance alone may have sent the last calls to the other replica.
-	for range 8 {
-		must.True(t, only("i-2")())
-	}
 	first.Register(w.store, service, "ready")
 	w.store.Delete("servers/i-2")
 	w.eventually("the removed replica gets no work", only("i-1"))
