gateway, platform: log the prompt parts of failed attempts

The log could not tell whether an attempt failed before or after its first output, which parts of the prompt the request shares with others, or for which replica a group waited, so three explanations fitted it alike.

request.attempt-broken now has the shared prompt parts and whether output had begun, request.attempt-refused the address that the answer blames.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -31,6 +31,9 @@
 	PromptTokens int64
 	// OutputTokens is the maximum number of tokens of output.
 	OutputTokens int64
+	// PromptParts are the ids of the parts of the prompt that other requests share, in
+	// order. The part that only this request or its session has is left out.
+	PromptParts []ident.PromptPart
 	// OutputEstimate is the client's estimate of the number of tokens of output. It
 	// is often far off.
 	OutputEstimate int64
@@ -64,6 +67,9 @@
 	Misdirected bool
 	// Closing reports whether the server closes the connection after this answer.
 	Closing bool
+	// BlamedAddress is the host and port of the server whose failure kept this one from
+	// running the request: the engines of a group wait for each other. It may be empty.
+	BlamedAddress string
 	// IdleLimit is how long the server keeps an idle connection open; zero if unknown.
 	IdleLimit time.Duration
 	Load      Load
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -54,6 +54,8 @@
 	// silenceDeadline is when the current attempt is abandoned if no answer has begun,
 	// zero for never.
 	silenceDeadline time.Time
+	// outputBegan reports whether the current attempt has sent output.
+	outputBegan bool
 	// serverFailed reports whether the current attempt counts as a failure of its server.
 	serverFailed bool
 	// misdirected reports whether another server now has the address of the current server.
@@ -217,7 +219,7 @@
 func (c *clientRequest) startAttempt(now time.Time, a request.Offer) {
 	ctx, cancel := context.WithCancel(c.request.Context())
 	c.cancel, c.currentAttempt = cancel, a.Attempt
-	c.serverFailed, c.misdirected, c.silenceDeadline = false, false, time.Time{}
+	c.outputBegan, c.serverFailed, c.misdirected, c.silenceDeadline = false, false, false, time.Time{}
 	left := c.timeout - now.Sub(c.arrived)
 	if c.route.Kind == record.Repeatable && c.lifecycle.SentAttempts() < c.route.MaxAttempts {
 		c.silenceDeadline = now.Add(time.Duration(silenceRatio * float64(left)))
@@ -288,7 +290,7 @@
 
 func (c *clientRequest) failAttempt(now time.Time, reason outcome.Reason, detail string) {
 	c.serverFailed = true
-	c.log("request.attempt-broken", reason, detail)
+	c.log("request.attempt-broken", reason, fmt.Sprintf("%s; output begun %t, shared prompt parts %v", detail, c.outputBegan, c.meta.PromptParts))
 	c.step(now, request.Failed{Attempt: c.currentAttempt, Reason: reason})
 }
 
@@ -298,7 +300,7 @@
 	switch {
 	case e.Head.NotRun && !success:
 		c.misdirected = e.Head.Misdirected
-		c.log("request.attempt-refused", outcome.ReasonBusy, fmt.Sprintf("status %d, load %v", e.Head.Status, e.Head.Load))
+		c.log("request.attempt-refused", outcome.ReasonBusy, fmt.Sprintf("status %d, load %v, blamed address %q", e.Head.Status, e.Head.Load, e.Head.BlamedAddress))
 		c.step(now, request.Refused{Attempt: c.currentAttempt, Reason: outcome.ReasonBusy})
 	case !e.Head.Signed || e.Head.Encoded || c.headWritten:
 		c.failAttempt(now, outcome.ReasonServerFailed, fmt.Sprintf("the answer with status %d is not a valid answer of the backend server", e.Head.Status))
@@ -315,6 +317,7 @@
 // forwardEvents passes events of a stream on to the client. Each event is written once
 // and in order, even if a resumed attempt repeats some.
 func (c *clientRequest) forwardEvents(now time.Time, events []upstream.StreamEvent) {
+	c.outputBegan = true
 	var out []byte
 	for _, e := range events {
 		switch {
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -22,6 +22,10 @@
 // ServerID names a backend server: a model replica or a replica of a plain service.
 type ServerID string
 
+// PromptPart is the id of a part of a prompt. Requests that share a prefix of their
+// prompts name the same parts.
+type PromptPart string
+
 // ServiceName names a plain service.
 type ServiceName string
 
