quarantine: keep prompt parts that crash engines from the servers

Each crash stopped the whole group for some 4 s, and about 1 s after its return the next request with the part crashed another replica.

Cause: a failed attempt was blamed on the server alone. Nothing remembered what the server had been asked, so neither the retry of the same request nor other requests with the same part were kept from the other servers.

The requests without output at a crashed server are suspects; each output proves that the parts of its prompt are sound; the parts that remain are held, and come back by one trial request after a time that grows with the evidence. If the server was about to write to one of them, only that one is a suspect. Entries tell each other of crashes, proofs and trials, and tell a new entry what they know. A crash is told from a lost connection by one connect, which a crashed server refuses. Held requests are refused at once, not run, with the time of the trial in Retry-After.

Ruled out: only not retrying the broken request (other requests have the part); counting crashes by part (costs that many outages); holding the client account or the first part (sound requests share them).

Conclusion: one crash teaches all entries; what is lost is its one outage.

--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -56,6 +56,9 @@
 	silenceDeadline time.Time
 	// outputBegan reports whether the current attempt has sent output.
 	outputBegan bool
+	// answerBegan reports whether the head of the current attempt's answer has arrived,
+	// serverCrashed whether its server crashed before any output.
+	answerBegan, serverCrashed bool
 	// serverFailed reports whether the current attempt counts as a failure of its server.
 	serverFailed bool
 	// misdirected reports whether another server now has the address of the current server.
@@ -200,14 +203,17 @@
 		return
 	}
 	chosen, ok := task.Ask(detached(c.request), c.handler.dispatch, func(reply chan<- choice) dispatchMessage {
-		return choose{service: c.service, tried: a.Excluded, retry: c.lifecycle.SentAttempts() > 0, reply: reply}
+		return choose{
+			service: c.service, tried: a.Excluded, retry: c.lifecycle.SentAttempts() > 0, parts: c.meta.PromptParts, reply: reply,
+		}
 	})
 	if !ok {
 		chosen.reason = outcome.ReasonDraining
 	}
 	if !chosen.ok {
+		final := !c.lifecycle.Answering() || chosen.reason == outcome.ReasonRetryBudget || chosen.reason == outcome.ReasonQuarantined
 		c.step(now, request.NoServer{
-			Outcome: outcome.DidNotRun(chosen.reason, ""), Final: !c.lifecycle.Answering() || chosen.reason == outcome.ReasonRetryBudget,
+			Outcome: outcome.DidNotRun(chosen.reason, ""), RetryAfter: chosen.retryAfter, Final: final && !chosen.unsettled,
 		})
 		return
 	}
@@ -219,7 +225,8 @@
 func (c *clientRequest) startAttempt(now time.Time, a request.Offer) {
 	ctx, cancel := context.WithCancel(c.request.Context())
 	c.cancel, c.currentAttempt = cancel, a.Attempt
-	c.outputBegan, c.serverFailed, c.misdirected, c.silenceDeadline = false, false, false, time.Time{}
+	c.answerBegan, c.outputBegan, c.serverCrashed = false, false, false
+	c.serverFailed, c.misdirected, c.silenceDeadline = false, false, time.Time{}
 	left := c.timeout - now.Sub(c.arrived)
 	if c.route.Kind == record.Repeatable && c.lifecycle.SentAttempts() < c.route.MaxAttempts {
 		c.silenceDeadline = now.Add(time.Duration(silenceRatio * float64(left)))
@@ -229,6 +236,7 @@
 		Target: c.request.RequestURI, Host: c.request.Host, Header: c.handler.protocol.Forward(c.request.Header, c.forwardHeaders(left)),
 		Body: c.body, HasBody: len(c.body) > 0 || c.request.ContentLength >= 0 && c.request.Header.Get("Content-Length") != "",
 		Stream: c.route.Kind == record.Streaming, AtMostOnce: !c.route.Repeats(),
+		DetectCrash: len(c.meta.PromptParts) > 0,
 	}
 	number, events := c.currentAttempt, c.events
 	c.attempts.Go(func() {
@@ -257,6 +265,7 @@
 func (c *clientRequest) endAttempt(a request.EndAttempt) {
 	c.handler.dispatch.Send(detached(c.request), attemptEnded{
 		service: c.service, server: a.Server, failed: c.serverFailed, misdirected: c.misdirected,
+		parts: c.meta.PromptParts, crashed: c.serverCrashed, answerBegan: c.answerBegan,
 	})
 	if c.serverFailed {
 		c.handler.metrics.broken.Inc()
@@ -274,7 +283,7 @@
 		c.silenceDeadline = time.Time{}
 		c.handleAnswer(now, e)
 	case upstream.StreamStarted:
-		c.silenceDeadline = time.Time{}
+		c.silenceDeadline, c.answerBegan = time.Time{}, true
 		if c.streamHead == nil {
 			c.streamHead = &e
 		}
@@ -284,13 +293,14 @@
 		c.writeStreamHead()
 		c.step(now, request.Completed{Attempt: c.currentAttempt})
 	case upstream.Failed:
+		c.serverCrashed = e.Crashed
 		c.failAttempt(now, outcome.ReasonServerFailed, e.Err.Error())
 	}
 }
 
 func (c *clientRequest) failAttempt(now time.Time, reason outcome.Reason, detail string) {
 	c.serverFailed = true
-	c.log("request.attempt-broken", reason, fmt.Sprintf("%s; output begun %t, shared prompt parts %v", detail, c.outputBegan, c.meta.PromptParts))
+	c.log("request.attempt-broken", reason, fmt.Sprintf("%s; output begun %t, server crashed %t, shared prompt parts %v", detail, c.outputBegan, c.serverCrashed, c.meta.PromptParts))
 	c.step(now, request.Failed{Attempt: c.currentAttempt, Reason: reason})
 }
 
@@ -306,6 +316,9 @@
 		c.failAttempt(now, outcome.ReasonServerFailed, fmt.Sprintf("the answer with status %d is not a valid answer of the backend server", e.Head.Status))
 	case success || !c.route.Repeats() || e.Head.Status < http.StatusInternalServerError:
 		c.answer = &e
+		if success {
+			c.recordOutput()
+		}
 		c.step(now, request.Completed{Attempt: c.currentAttempt})
 	default:
 		c.answer = &e
@@ -314,10 +327,18 @@
 	}
 }
 
+// recordOutput reports the first output of the current attempt.
+func (c *clientRequest) recordOutput() {
+	if !c.outputBegan && len(c.meta.PromptParts) > 0 {
+		c.handler.dispatch.Send(detached(c.request), outputBegan{service: c.service, parts: c.meta.PromptParts})
+	}
+	c.outputBegan = true
+}
+
 // forwardEvents passes events of a stream on to the client. Each event is written once
 // and in order, even if a resumed attempt repeats some.
 func (c *clientRequest) forwardEvents(now time.Time, events []upstream.StreamEvent) {
-	c.outputBegan = true
+	c.recordOutput()
 	var out []byte
 	for _, e := range events {
 		switch {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -93,8 +93,10 @@
 	reports     int
 	dial        func(ctx context.Context, address string)
 	dispatch    *task.Mailbox[dispatchMessage]
-	pool        *upstream.Pool
-	logger      zerolog.Logger
+	// notices are messages of the dispatch task to all other entries.
+	notices *task.Mailbox[message.Message]
+	pool    *upstream.Pool
+	logger  zerolog.Logger
 	// drain starts to shut the client listener down.
 	drain func()
 }
@@ -123,6 +125,7 @@
 // run is the main loop of the task. It returns once the process has stopped.
 func (c *control) run(ctx context.Context) error {
 	defer c.mailbox.Close()
+	defer c.notices.Close()
 	c.dialEntries(ctx)
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
@@ -130,6 +133,10 @@
 		select {
 		case m := <-c.mailbox.Receive():
 			c.step(ctx, time.Now(), m)
+		case m := <-c.notices.Receive():
+			for _, l := range c.linkPerPeer() {
+				l.Send(m)
+			}
 		case <-tick.C:
 			c.tick(ctx, time.Now())
 		case <-ctx.Done():
@@ -286,6 +293,7 @@
 		}
 		c.links[e.Link] = struct{}{}
 		e.Link.Send(&message.ProcessAddresses{Own: c.address, Addresses: c.entryAddresses})
+		c.sendCrashes(ctx, e.Link)
 	case link.Down:
 		delete(c.links, e.Link)
 		c.logger.Info().Str("peer", string(peer)).AnErr("cause", e.Err).Msg("link down")
@@ -295,6 +303,15 @@
 	}
 }
 
+// sendCrashes tells an entry, which may have been restarted, of the crashes whose cause is
+// open.
+func (c *control) sendCrashes(ctx context.Context, to *link.Link) {
+	reports, _ := task.Ask(ctx, c.dispatch, func(reply chan<- []message.Message) dispatchMessage { return getCrashes{reply: reply} })
+	for _, m := range reports {
+		to.Send(m)
+	}
+}
+
 func (c *control) handleMessage(ctx context.Context, now time.Time, from *link.Link, m message.Message) {
 	switch m := m.(type) {
 	case *message.EntryReport:
@@ -307,6 +324,8 @@
 		c.dispatch.Send(ctx, updateSlowdowns{slow: m.Slow})
 	case *message.ProcessAddresses:
 		c.addAddresses(ctx, append([]string{m.Own}, m.Addresses...))
+	case *message.CrashReport, *message.PartsProven, *message.PartTrial:
+		c.dispatch.Send(ctx, peerNotice{message: m})
 	case *message.RoutesPull:
 		if c.version() > m.After {
 			from.Send(&message.RoutesPush{Version: c.version(), Document: c.document})
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/anvilpoint/anvilpoint/internal/decide/intake"
+	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
 	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
@@ -40,7 +43,9 @@
 		hasKey     bool
 		// timeLeft is how long the client waits for the answer; zero if not given.
 		timeLeft time.Duration
-		reply    chan<- admission
+		// parts are the shared parts of the prompt.
+		parts []ident.PromptPart
+		reply chan<- admission
 	}
 	// choose asks for a backend server for one attempt.
 	choose struct {
@@ -48,6 +53,7 @@
 		tried   []ident.ServerID
 		// retry reports whether the request has been sent to a server before.
 		retry bool
+		parts []ident.PromptPart
 		reply chan<- choice
 	}
 	// attemptEnded reports the end of an attempt.
@@ -57,6 +63,10 @@
 		failed  bool
 		// misdirected reports whether the address now belongs to another server.
 		misdirected bool
+		parts       []ident.PromptPart
+		// crashed reports whether the server crashed before the first output, and
+		// answerBegan whether the head of the answer had arrived by then.
+		crashed, answerBegan bool
 	}
 	// gapObserved reports the mean time between two events of a stream.
 	gapObserved struct {
@@ -111,6 +121,10 @@
 	server registry.Server
 	ok     bool
 	reason outcome.Reason
+	// retryAfter is when the client may come back, zero if not known.
+	retryAfter time.Duration
+	// unsettled reports whether another choice may be possible within a few milliseconds.
+	unsettled bool
 }
 
 // dispatch is the task that admits requests and picks their backend servers. It owns
@@ -129,6 +143,11 @@
 	// entries holds when each of the other entries last sent a report.
 	entries map[ident.InstanceID]time.Time
 	metrics *metrics
+	logger  zerolog.Logger
+	// quarantines hold the prompt parts that may crash the servers of each service.
+	quarantines map[ident.ServiceName]*quarantine.Quarantine
+	// notices are messages that the control task sends to all other entries.
+	notices *task.Mailbox[message.Message]
 	// waiting are the requests that wait for a slot, in the order in which they get one.
 	waiting []*waiter
 }
@@ -140,6 +159,9 @@
 		services: make(map[ident.ServiceName]*intake.Service),
 		budgets:  make(map[ident.ServiceName]*routing.WindowBudget),
 		entries:  make(map[ident.InstanceID]time.Time),
+
+		quarantines: make(map[ident.ServiceName]*quarantine.Quarantine),
+		notices:     task.NewMailbox[message.Message](noticeCapacity, task.DropOldest),
 	}
 }
 
@@ -182,6 +204,12 @@
 		d.updateSlowdowns(now, m.slow)
 	case getReport:
 		m.reply <- d.report(now)
+	case outputBegan:
+		d.recordOutput(now, m)
+	case peerNotice:
+		d.handleNotice(now, m.message)
+	case getCrashes:
+		m.reply <- d.crashReports(now)
 	}
 }
 
@@ -207,9 +235,20 @@
 	a.service = d.pickService(route)
 	d.budgetOf(a.service).Request(now)
 	d.service(a.service).Arrived(now)
+	if decision := d.quarantine(a.service).Check(now, m.parts); !decision.Send && !decision.Unsettled {
+		m.reply <- d.refuseQuarantined(a, decision)
+		return
+	}
 	d.enqueue(now, m, a)
 }
 
+// refuseQuarantined returns the refusal of a request whose prompt may crash a server.
+func (d *dispatch) refuseQuarantined(a admission, decision quarantine.Decision) admission {
+	a.status, a.retryAfter = http.StatusServiceUnavailable, d.quarantineRetryAfter(decision)
+	a.outcome = outcome.DidNotRun(outcome.ReasonQuarantined, "a part of the prompt may crash the model engines")
+	return a
+}
+
 func refusal(status int, reason outcome.Reason, wait time.Duration) admission {
 	return admission{status: status, outcome: outcome.DidNotRun(reason, ""), retryAfter: wait}
 }
@@ -271,6 +310,9 @@
 }
 
 func (d *dispatch) choose(now time.Time, m choose) choice {
+	if refused, ok := d.mayRetry(now, m); !ok {
+		return refused
+	}
 	if m.retry && !d.budgetOf(m.service).Take(now, d.budgetEntries(now)) {
 		return choice{reason: outcome.ReasonRetryBudget}
 	}
@@ -307,6 +349,11 @@
 func (d *dispatch) endAttempt(now time.Time, m attemptEnded) {
 	s := d.service(m.service)
 	s.Ended(now, m.server, m.failed)
+	if m.crashed {
+		d.recordCrash(now, m)
+	} else {
+		d.quarantine(m.service).AttemptEnded(now, m.parts)
+	}
 	if m.misdirected {
 		s.Drain(now, m.server)
 	}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -67,9 +67,9 @@
 // refuseNotRun answers that the request did not run and never will.
 func (c *clientRequest) refuseNotRun() {
 	c.status = http.StatusServiceUnavailable
-	wait := minRetryAfter
-	if time.Since(c.arrived)+wait > c.timeout {
-		wait = 0
+	wait := c.end.RetryAfter
+	if wait == 0 && time.Since(c.arrived)+minRetryAfter <= c.timeout {
+		wait = minRetryAfter
 	}
 	c.handler.protocol.Refuse(c.writer.Header(), c.meta.ID, wait)
 	c.writer.WriteHeader(c.status)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,6 +135,7 @@
 	p.dispatch = newDispatch(s.Domain, p.random(1), routing.WindowConfig{
 		Ratio: s.RetryRatio / 2, Slack: s.RetrySlack / 2, Window: s.RetryWindow,
 	}, p.metrics)
+	p.dispatch.logger = o.Logger
 	if err := p.initHandler(); err != nil {
 		return nil, err
 	}
@@ -163,7 +164,7 @@
 		return err
 	}
 	c.address = s.LinkListen
-	c.dispatch, c.pool, c.logger = p.dispatch.mailbox, p.pool, p.options.Logger
+	c.dispatch, c.notices, c.pool, c.logger = p.dispatch.mailbox, p.dispatch.notices, p.pool, p.options.Logger
 	c.drain = p.drain
 	random := p.random(2)
 	c.dial = func(ctx context.Context, address string) {
@@ -199,7 +200,8 @@
 	switch kind {
 	case message.KindHeartbeat:
 		return true
-	case message.KindEntryReport, message.KindProcessAddresses, message.KindRoutesPull, message.KindRoutesPush:
+	case message.KindEntryReport, message.KindProcessAddresses, message.KindRoutesPull, message.KindRoutesPush,
+		message.KindCrashReport, message.KindPartsProven, message.KindPartTrial:
 		return role == message.RoleEntry
 	case message.KindSlowServers:
 		return role == message.RoleSidecar
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -61,6 +61,19 @@
 	return f
 }
 
+// startPeer starts another entry that dials this one.
+func (f *fixture) startPeer() *fixture {
+	other := *f
+	copied := *f.settings
+	other.settings, other.ended = &copied, make(chan error, 1)
+	for _, address := range []*string{&copied.Listen, &copied.ReadyListen, &copied.LinkListen, &copied.Metrics} {
+		*address = f.network.Address(f.t, "127.0.0.1")
+	}
+	copied.Instance, copied.Seeds = "entry-2", []string{f.settings.LinkListen}
+	other.start()
+	return &other
+}
+
 func (f *fixture) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
@@ -113,9 +126,26 @@
 }
 
 func (f *fixture) call(method, path, apiKey, body string) answer {
+	f.t.Helper()
+	return f.send(f.request(method, path, apiKey, body))
+}
+
+func (f *fixture) request(method, path, apiKey, body string) *http.Request {
 	f.t.Helper()
 	f.requests++
-	r := platformtest.NewRequest(f.t, method, f.settings.Listen, host, path, fmt.Sprintf("request-%d", f.requests), apiKey, body)
+	return platformtest.NewRequest(f.t, method, f.settings.Listen, host, path, fmt.Sprintf("request-%d", f.requests), apiKey, body)
+}
+
+// prompt sends a request for a stream with the prompt parts.
+func (f *fixture) prompt(parts ...string) answer {
+	f.t.Helper()
+	r := f.request(http.MethodPost, "/streaming/x", key, "prompt")
+	platformtest.SetPromptParts(r, parts...)
+	return f.send(r)
+}
+
+func (f *fixture) send(r *http.Request) answer {
+	f.t.Helper()
 	response, err := f.client.Do(r)
 	if err != nil {
 		return answer{broken: true}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -63,7 +63,7 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	// The admission is awaited even if the client leaves, since it may hold a slot.
 	a, ok := task.Ask(detached(r), h.dispatch, func(reply chan<- admission) dispatchMessage {
-		m := admit{host: r.Host, path: path, timeLeft: meta.TimeLeft, reply: reply}
+		m := admit{host: r.Host, path: path, timeLeft: meta.TimeLeft, parts: meta.PromptParts, reply: reply}
 		if meta.Key != "" {
 			m.key, m.hasKey = record.KeyHash(sha256.Sum256([]byte(meta.Key))), true
 		}
@@ -85,7 +85,7 @@
 
 // freeSlot frees the slot of a request whose client left while it waited.
 func (h *clientHandler) freeSlot(meta call.Meta, a admission) {
-	h.dispatch.Send(context.Background(), attemptEnded{service: a.service, server: a.server.ID})
+	h.dispatch.Send(context.Background(), attemptEnded{service: a.service, server: a.server.ID, parts: meta.PromptParts})
 	h.events.Emit(eventlog.Event{
 		Name: "request.left", Request: meta.ID, Account: a.account, Revision: a.version,
 		Reason: string(outcome.ReasonCanceled), Detail: "the client left while the request waited for a slot",
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,8 @@
 	storeReads  *prometheus.CounterVec
 	links       *prometheus.CounterVec
 	version     prometheus.Gauge
+	crashes     prometheus.Counter
+	quarantined prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -35,7 +37,11 @@
 		links: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "anvilpoint_links_closed_total", Help: "Links to other processes that closed, by reason."}, []string{"reason"}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{Name: "anvilpoint_routes_version", Help: "Version of the routes in force."}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "anvilpoint_backend_crashes_total", Help: "Attempts whose backend server crashed before the first output."}),
+		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "anvilpoint_quarantined_prompt_parts", Help: "Prompt parts that are kept from the model engines."}),
 	}
-	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version)
+	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined)
 	return m
 }
--- /dev/null
+++ b/internal/gateway/quarantine_test.go
@@ -0,0 +1,71 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/anvilpoint/anvilpoint/platform/platformtest"
+)
+
+// awaitQuarantine waits until the entry holds a prompt part.
+func (f *fixture) awaitQuarantine() {
+	f.t.Helper()
+	f.eventually("the entry knows of the crash", func() bool {
+		response, err := http.Get("http://" + f.settings.Metrics + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		return err == nil && strings.Contains(string(text), "\nanvilpoint_quarantined_prompt_parts 1")
+	})
+}
+
+// Guards against a prompt part that crashes one backend server after the other, by the
+// request itself, by other requests, or through another entry, and against a refusal of
+// sound requests with the same first part.
+func TestPromptPartThatCrashedAServerIsNotSentAgain(t *testing.T) {
+	replicas := []*platformtest.Replica{platformtest.NewReplica(t, "i-1"), platformtest.NewReplica(t, "i-2"), platformtest.NewReplica(t, "i-3")}
+	for _, r := range replicas {
+		r.SetHandler(r.CrashOnPart("deadly"))
+	}
+	f := newFixture(t, replicas...)
+	peer := f.startPeer()
+	must.Eq(t, http.StatusOK, f.prompt("first", "last-1").status)
+	must.Eq(t, http.StatusBadGateway, f.prompt("first", "deadly", "last-2").status)
+
+	refused := f.prompt("first", "deadly", "last-3")
+	must.Eq(t, http.StatusServiceUnavailable, refused.status)
+	must.NotEq(t, "", refused.header.Get("Retry-After"))
+	must.Eq(t, http.StatusOK, f.prompt("first", "last-4").status)
+
+	peer.awaitQuarantine()
+	must.Eq(t, http.StatusServiceUnavailable, peer.prompt("first", "deadly", "last-5").status)
+	must.Eq(t, http.StatusOK, peer.prompt("first", "last-6").status)
+	deadly := 0
+	for _, r := range replicas {
+		for _, one := range r.Received() {
+			if one.HasPart("deadly") {
+				deadly++
+			}
+		}
+	}
+	must.Eq(t, 1, deadly)
+}
+
+// Guards against an entry that starts after the crash and crashes the next server.
+func TestEntryThatStartsLaterLearnsOfTheCrash(t *testing.T) {
+	replicas := []*platformtest.Replica{platformtest.NewReplica(t, "i-1"), platformtest.NewReplica(t, "i-2")}
+	for _, r := range replicas {
+		r.SetHandler(r.CrashOnPart("deadly"))
+	}
+	f := newFixture(t, replicas...)
+	must.Eq(t, http.StatusBadGateway, f.prompt("deadly", "last-1").status)
+	peer := f.startPeer()
+	peer.awaitQuarantine()
+	must.Eq(t, http.StatusServiceUnavailable, peer.prompt("deadly", "last-2").status)
+}
--- a/internal/message/kinds.go
+++ b/internal/message/kinds.go
@@ -34,6 +34,9 @@
 func (*RoutesPush) kind() Kind       { return KindRoutesPush }
 func (*MapChange) kind() Kind        { return KindMapChange }
 func (*SlowServers) kind() Kind      { return KindSlowServers }
+func (*CrashReport) kind() Kind      { return KindCrashReport }
+func (*PartsProven) kind() Kind      { return KindPartsProven }
+func (*PartTrial) kind() Kind        { return KindPartTrial }
 
 // KindOf returns the message's frame type on the wire.
 func KindOf(m Message) Kind { return m.kind() }
@@ -109,6 +112,12 @@
 		return new(MapChange)
 	case KindSlowServers:
 		return new(SlowServers)
+	case KindCrashReport:
+		return new(CrashReport)
+	case KindPartsProven:
+		return new(PartsProven)
+	case KindPartTrial:
+		return new(PartTrial)
 	default:
 		return nil
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -71,6 +71,9 @@
 	KindRoutesPush
 	KindMapChange
 	KindSlowServers
+	KindCrashReport
+	KindPartsProven
+	KindPartTrial
 )
 
 // Digest identifies one accepted configuration record by its revision and the hash
--- /dev/null
+++ b/internal/message/quarantine.go
@@ -0,0 +1,51 @@
+package message
+
+import (
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/internal/ident"
+)
+
+// CrashReport tells the other entries which requests of the sender had no output at a
+// backend server when it crashed.
+type CrashReport struct {
+	_       struct{} `cbor:",toarray"`
+	Service ident.ServiceName
+	Server  ident.ServerID
+	// Age is the time since the crash. The clocks of two entries may differ by seconds.
+	Age      time.Duration
+	Suspects []CrashSuspect
+}
+
+// CrashSuspect is a request that had no output at a server when the server crashed.
+type CrashSuspect struct {
+	_ struct{} `cbor:",toarray"`
+	// Parts are the shared parts of the request's prompt.
+	Parts []ident.PromptPart
+	// Began reports whether the head of the answer had arrived.
+	Began bool
+}
+
+// PartsProven tells the other entries which prompt parts did not crash the backend server
+// that wrote an output to a request with them.
+type PartsProven struct {
+	_       struct{} `cbor:",toarray"`
+	Service ident.ServiceName
+	Parts   []ProvenPart
+}
+
+// ProvenPart is a prompt part that was shown to be sound.
+type ProvenPart struct {
+	_    struct{} `cbor:",toarray"`
+	Part ident.PromptPart
+	// Age is the time since the output.
+	Age time.Duration
+}
+
+// PartTrial tells the other entries that the sender sends one request to find out whether
+// the prompt part crashes a backend server.
+type PartTrial struct {
+	_       struct{} `cbor:",toarray"`
+	Service ident.ServiceName
+	Part    ident.PromptPart
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -54,6 +54,8 @@
 	ReasonGroupReforming   Reason = "group-reforming"
 	ReasonServerSuspected  Reason = "backend-server-suspected"
 	ReasonDuplicateAttempt Reason = "duplicate-attempt"
+	// ReasonQuarantined: a part of the prompt may crash the model engines.
+	ReasonQuarantined Reason = "prompt-part-quarantined"
 )
 
 // Outcome is how a request, an attempt or a booking ended.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,6 +61,9 @@
 	Err error
 	// Malformed is set if the bytes received are not a valid answer to this request.
 	Malformed bool
+	// Crashed is set if the server closed the connection before any output and then
+	// refused a new one. It is only found out for requests with DetectCrash.
+	Crashed bool
 }
 
 func (NotSent) isEvent()         {}
@@ -87,6 +91,9 @@
 	// AtMostOnce is set if the request must not run twice. It is not sent on a
 	// connection that its server may be about to close.
 	AtMostOnce bool
+	// DetectCrash is set if the caller needs to know whether a failure was a crash of the
+	// server. It costs one connection for each answer that is broken off before any output.
+	DetectCrash bool
 }
 
 // Transport calls backend servers.
@@ -110,7 +117,7 @@
 	// Closing the socket unblocks a pending read, and tells the server that the answer is
 	// not needed any more.
 	stop := context.AfterFunc(ctx, connection.abort)
-	x := exchange{transport: c, request: r, conn: connection, emit: emit}
+	x := exchange{transport: c, ctx: ctx, request: r, conn: connection, emit: emit}
 	reusable := x.run()
 	if !stop() || !reusable {
 		connection.close(time.Now())
@@ -142,6 +149,7 @@
 // exchange is one request and its answer on one connection.
 type exchange struct {
 	transport *Transport
+	ctx       context.Context
 	request   Request
 	conn      *conn
 	emit      func(Event)
@@ -159,13 +167,13 @@
 		}
 		// A server may have answered and closed before it read the complete request.
 		if x.conn.reader.Buffered() == 0 {
-			x.emit(Failed{Err: errors.Wrapf(err, "write the request to backend server %s", x.request.Server)})
+			x.failBeforeOutput(errors.Wrapf(err, "write the request to backend server %s", x.request.Server))
 			return false
 		}
 	}
 	response, err := x.readHead()
 	if err != nil {
-		x.emit(Failed{Err: err, Malformed: errors.Is(err, errMalformed)})
+		x.failBeforeOutput(err)
 		return false
 	}
 	head := x.transport.Protocol.Answer(response.StatusCode, response.Header)
@@ -179,6 +187,33 @@
 	return complete && !response.Close && !head.Closing && x.fullyWritten() && x.conn.reader.Buffered() == 0
 }
 
+// failBeforeOutput reports a failure of an attempt that has no output, and whether the
+// server crashed.
+func (x *exchange) failBeforeOutput(err error) {
+	failed := Failed{Err: err, Malformed: errors.Is(err, errMalformed)}
+	if x.request.DetectCrash && closedByPeer(err) {
+		failed.Crashed = x.refusesConnections()
+	}
+	x.emit(failed)
+}
+
+// closedByPeer reports whether the server's side ended the connection.
+func closedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// refusesConnections reports whether nothing accepts connections at the server's address.
+func (x *exchange) refusesConnections() bool {
+	socket, err := x.transport.Dial(x.ctx, x.request.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	// The connection has carried nothing, so an error from Close does not matter.
+	_ = socket.Close()
+	return false
+}
+
 func (x *exchange) write() (int, error) {
 	data := x.request.encode()
 	if len(data) <= inlineWriteBytes {
@@ -270,17 +305,24 @@
 func (x *exchange) stream(head call.Head, response *http.Response) bool {
 	x.emit(StreamStarted{Head: head, Header: response.Header})
 	var s eventSplitter
+	outputBegan := false
 	buffer := make([]byte, readBuffer)
 	for {
 		n, err := response.Body.Read(buffer)
 		if events := s.add(buffer[:n]); len(events) > 0 {
+			outputBegan = true
 			x.emit(EventsReceived{Events: events})
 		}
 		if err == nil {
 			continue
 		}
 		if err != io.EOF {
-			x.emit(Failed{Err: errors.Wrapf(err, "read the stream of backend server %s", x.request.Server)})
+			err = errors.Wrapf(err, "read the stream of backend server %s", x.request.Server)
+			if outputBegan {
+				x.emit(Failed{Err: err})
+			} else {
+				x.failBeforeOutput(err)
+			}
 			return false
 		}
 		if s.pending() {
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -37,6 +37,8 @@
 	transport *upstream.Transport
 	address   string
 	accepted  chan net.Conn
+	// stopListening makes the server refuse new connections.
+	stopListening func()
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -54,6 +56,7 @@
 			f.accepted <- c
 		}
 	})
+	f.stopListening = func() { _ = l.Close() }
 	pool := upstream.NewPool()
 	ctx, cancel := context.WithCancel(context.Background())
 	group.Go("pool", func(context.Context) error { return pool.Run(ctx) })
@@ -328,3 +331,24 @@
 	_, unsent := list[0].(upstream.NotSent)
 	must.True(t, unsent)
 }
+
+// Guards against a crash of a backend server that looks like one lost connection, so that
+// the requests that caused it are sent to the next server.
+func TestCrashIsToldFromALostConnection(t *testing.T) {
+	for _, head := range []string{"", "HTTP/1.1 200 OK\r\nId: r\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"} {
+		for _, crashed := range []bool{true, false} {
+			f := newFixture(t)
+			last := f.one(upstream.Request{ID: "r", Stream: true, DetectCrash: true}, func(s *server) {
+				s.read(t)
+				s.write(head)
+				if crashed {
+					f.stopListening()
+				}
+				must.NoError(t, s.conn.Close())
+			})
+			failed, ok := last.(upstream.Failed)
+			must.True(t, ok)
+			must.Eq(t, crashed, failed.Crashed, must.Sprintf("head %q", head))
+		}
+	}
+}
