upstream: bound the bytes read of a head, a body and an event

Cause: a head was read by http.ReadResponse, which has no limit of its own, also over any number of interim answers; an event of a stream was buffered until its end came; an unsigned body, which no client gets, was read whole; a body was bounded by 8 MB, of which some tens fill the 206 MB of an entry.

Change: a reader with a limit below the buffer bounds a head to 64 kB, an event is bounded to 1 MB, a body to 2 MB (answers on the users' sites have 5 kB at most), and an answer without a signature fails at its head. The client of the store and of the own engine has the same limit on heads. The engine client of the product's own sidecars has bounded lines and bodies already.

TestBytesWithoutEndFailTheAttempt failed before at its first case: the entry read all 64 MB and kept the connection open. With the change all nine pass.

Conclusion: the memory that one answer can take is bounded in each part.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -23,8 +23,11 @@
 	// maxStaleAnswers is the maximum number of late answers to earlier requests that are
 	// skipped before the answer to the current one.
 	maxStaleAnswers = 2
-	// maxAnswerBytes is the maximum size of the body of an answer that is not a stream.
-	maxAnswerBytes = 8 << 20
+	// maxHeadBytes is the maximum size of the head of an answer, with interim answers.
+	maxHeadBytes = 64 << 10
+	// maxAnswerBytes is the maximum size of the body of an answer that is not a stream. An
+	// entry with 200 MB of memory holds some tens of answers at once.
+	maxAnswerBytes = 2 << 20
 	// inlineWriteBytes is the maximum size of a request that is written before the answer
 	// is read. A larger request is written concurrently, since a server may answer before
 	// it has read a long body.
@@ -177,6 +180,10 @@
 		return false
 	}
 	head := x.transport.Protocol.Answer(response.StatusCode, response.Header)
+	if !head.Signed && !head.NotRun {
+		x.emit(Failed{Err: errors.Errorf("answer with status %d has no signature of a backend server", head.Status), Malformed: true})
+		return false
+	}
 	var complete bool
 	if x.request.Stream && response.StatusCode == http.StatusOK && head.Signed {
 		complete = x.stream(head, response)
@@ -271,6 +278,8 @@
 
 func (x *exchange) readResponse() (*http.Response, error) {
 	request := &http.Request{Method: x.request.Method}
+	x.conn.source.limit(maxHeadBytes)
+	defer x.conn.source.unlimit()
 	for {
 		if _, err := x.conn.reader.Peek(1); err != nil {
 			return nil, errors.Wrapf(err, "read the answer of backend server %s", x.request.Server)
@@ -313,6 +322,10 @@
 			outputBegan = true
 			x.emit(EventsReceived{Events: events})
 		}
+		if s.tooLong() {
+			x.emit(Failed{Err: errors.Errorf("stream has an event of more than %d bytes", maxEventBytes), Malformed: true})
+			return false
+		}
 		if err == nil {
 			continue
 		}
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -352,3 +352,44 @@
 		}
 	}
 }
+
+// endlessBytes is more than any answer may have. A test that reads it to its end shows that
+// nothing bounds what a server in trouble can make an entry read and keep.
+const endlessBytes = 64 << 20
+
+// Guards against memory that a server in trouble fills: bytes without end that are no
+// answer, in a head, in interim answers, in a body, in an event of a stream, and in a late
+// answer to another request. The entry must close the connection and report the failure.
+func TestBytesWithoutEndFailTheAttempt(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n"
+	for name, c := range map[string]struct{ prefix, repeated string }{
+		"status line":     {"HTTP/1.1 200 ", "x"},
+		"header line":     {head + "Long: ", "x"},
+		"header lines":    {head, "Name: value\r\n"},
+		"interim answers": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"body":            {head + "\r\n", "x"},
+		"chunked body":    {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"late answer":     {"HTTP/1.1 200 OK\r\nId: 0\r\nSeal: s\r\n\r\n", "x"},
+		"unsigned body":   {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x"},
+		"event":           {head + "\r\ndata: ", "x"},
+	} {
+		f := newFixture(t)
+		sent := 0
+		e := f.one(upstream.Request{ID: "1", Stream: name == "event"}, func(s *server) {
+			s.read(t)
+			s.write(c.prefix)
+			block := strings.Repeat(c.repeated, 16<<10/len(c.repeated))
+			for sent < endlessBytes {
+				n, err := io.WriteString(s.conn, block)
+				sent += n
+				if err != nil {
+					return
+				}
+			}
+			_ = s.conn.Close()
+		})
+		_, failed := e.(upstream.Failed)
+		must.True(t, failed, must.Sprintf("%s: %T", name, e))
+		must.Less(t, endlessBytes, sent, must.Sprintf("%s: the connection stayed open", name))
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -16,6 +16,8 @@
 		},
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
 	}}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,7 +28,9 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	socket    net.Conn
+	socket net.Conn
+	// source reads from the socket, reader from source.
+	source    *boundedReader
 	reader    *bufio.Reader
 	lifecycle *chart.Lifecycle[*conn]
 	// serverIdleTimeout is the idle timeout that the server announced, zero for none.
@@ -43,7 +45,8 @@
 })
 
 func newConn(now time.Time, socket net.Conn) *conn {
-	c := &conn{socket: socket, reader: bufio.NewReaderSize(socket, readBuffer)}
+	source := &boundedReader{source: socket}
+	c := &conn{socket: socket, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
 	c.lifecycle = connectionMachine.New(now, c)
 	return c
 }
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -5,6 +5,9 @@
 	"strconv"
 )
 
+// maxEventBytes is the maximum size of one event of a stream.
+const maxEventBytes = 1 << 20
+
 // StreamEvent is one complete event of a stream.
 type StreamEvent struct {
 	// ID is the event's number. HasID is false for an event without a numeric id.
@@ -39,6 +42,9 @@
 // pending reports whether an incomplete event is buffered.
 func (s *eventSplitter) pending() bool { return len(bytes.TrimSpace(s.buffer)) > 0 }
 
+// tooLong reports whether the incomplete event exceeds maxEventBytes.
+func (s *eventSplitter) tooLong() bool { return len(s.buffer) > maxEventBytes }
+
 func eventID(raw []byte) (uint64, bool) {
 	for line := range bytes.Lines(raw) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
