upstream: do not take a stream without a length for complete after a crash

Cause: the end of the connection was the end of the answer, also before the first event, and when it was the crash of the server that closed it. The client would have got a part of the stream with a proper end.

Change: such a stream without any event has failed, and one whose server then refuses a connection has been broken off and is resumed. That costs one connect for each stream without a length that has prompt parts. A stream that ends within an event already failed.

TestStreamWithoutEventsOrLengthIsIncomplete and TestStreamWithoutLengthOfACrashedServerIsIncomplete fail without the change.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -329,6 +329,9 @@
 		if err == nil {
 			continue
 		}
+		if err == io.EOF && endsWithConnection(response) && (!outputBegan || x.request.DetectCrash && x.refusesConnections()) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != io.EOF {
 			err = errors.Wrapf(err, "read the stream of backend server %s", x.request.Server)
 			if outputBegan {
@@ -347,6 +350,12 @@
 	}
 }
 
+// endsWithConnection reports whether only the end of the connection marks the end of the
+// answer, so that an answer that was broken off may look complete.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // encode returns the request in HTTP/1.1 format. It is not written by net/http, which
 // would clean the target and the host; both must stay as the client sent them.
 func (r Request) encode() []byte {
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -393,3 +393,34 @@
 		must.Less(t, endlessBytes, sent, must.Sprintf("%s: the connection stayed open", name))
 	}
 }
+
+// Guards against a stream without a length that ends before its first event and is taken
+// for a complete answer.
+func TestStreamWithoutEventsOrLengthIsIncomplete(t *testing.T) {
+	f := newFixture(t)
+	e := f.one(upstream.Request{ID: "1", Stream: true}, func(s *server) {
+		s.read(t)
+		s.write("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\n")
+		_ = s.conn.Close()
+	})
+	_, failed := e.(upstream.Failed)
+	must.True(t, failed)
+}
+
+// Guards against a stream without a length whose server crashes between two events: the
+// client would take the part for the whole.
+func TestStreamWithoutLengthOfACrashedServerIsIncomplete(t *testing.T) {
+	for _, crashed := range []bool{true, false} {
+		f := newFixture(t)
+		e := f.one(upstream.Request{ID: "1", Stream: true, DetectCrash: true}, func(s *server) {
+			s.read(t)
+			s.write("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\nid: 1\ndata: a\n\n")
+			if crashed {
+				f.stopListening()
+			}
+			_ = s.conn.Close()
+		})
+		_, failed := e.(upstream.Failed)
+		must.Eq(t, crashed, failed)
+	}
+}
