intake, platform: decode, log and pass on the rate that a server announces

Whether entries ignored the announcement, obeyed it each on its own, or only in first attempts could not be told from logs or metrics: nothing decoded it. Now the adapter decodes it; intake keeps what the newest answer said (chart announced-rate), and the requests sent to each server within four seconds; entries tell each other of both in their reports; changes are logged, and a gauge counts the servers that announce a rate. Nothing acts on it yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -74,6 +74,10 @@
 	IdleLimit time.Duration
 	Load      Load
 	HasLoad   bool
+	// Rate is the number of requests a second that the server takes from all callers
+	// together. HasRate reports whether the answer announces one.
+	Rate    float64
+	HasRate bool
 }
 
 // Protocol translates between HTTP headers and typed values. The adapter to a
--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -72,6 +72,7 @@
 type Service struct {
 	config  Config
 	machine *chart.Machine[*server]
+	rates   *chart.Machine[*announcedRate]
 	servers map[ident.ServerID]*server
 	// order holds the servers in the order of the list.
 	order  []*server
@@ -95,13 +96,23 @@
 	// its group reported at slowAt.
 	slowBy float64
 	slowAt time.Time
+	rate   announcedRate
 }
 
-// peerCounts are the requests and the demand that another entry reported at a time.
+// PeerReport is what another entry reports about a service.
+type PeerReport struct {
+	// Running is the number of its requests at each server.
+	Running map[ident.ServerID]int
+	// Demand is its demand in requests per second.
+	Demand float64
+	// Rates is what it knows of the rates that servers announce.
+	Rates map[ident.ServerID]RateReport
+}
+
+// peerCounts is the report that another entry sent at a time.
 type peerCounts struct {
-	at      time.Time
-	running map[ident.ServerID]int
-	demand  float64
+	PeerReport
+	at time.Time
 }
 
 // New returns the intake of a service without servers.
@@ -123,6 +134,7 @@
 			"pause": func(b *server) time.Duration { return max(minPause, b.pause) },
 		},
 	})
+	s.rates = chart.MustBind(charts.Must("announced-rate"), chart.Binding[*announcedRate]{})
 	return s
 }
 
@@ -146,8 +158,9 @@
 		if b == nil || !b.Started.Equal(one.Started) {
 			b = &server{Server: one}
 			b.lifecycle = s.machine.New(now, b)
+			b.rate.lifecycle = s.rates.New(now, &b.rate)
 		}
-		b.Server, b.elsewhere = one, 0
+		b.Server, b.elsewhere, b.rate.startsElsewhere = one, 0, 0
 		switch {
 		case one.Leaving:
 			b.lifecycle.Fire(now, "drain")
@@ -166,11 +179,16 @@
 // countPeer adds another entry's request counts to the servers, or with sign -1
 // subtracts them.
 func (s *Service) countPeer(p peerCounts, sign int) {
-	for id, n := range p.running {
+	for id, n := range p.Running {
 		if b := s.servers[id]; b != nil {
 			b.elsewhere += sign * n
 		}
 	}
+	for id, r := range p.Rates {
+		if b := s.servers[id]; b != nil {
+			b.rate.startsElsewhere += sign * r.Started
+		}
+	}
 }
 
 // Drain stops new work for a server that announced its shutdown, or whose address
@@ -181,12 +199,12 @@
 	}
 }
 
-// UpdatePeer records what another entry reports: its requests at each server of the
-// service, and its demand in requests per second.
-func (s *Service) UpdatePeer(now time.Time, from ident.InstanceID, running map[ident.ServerID]int, demand float64) {
+// UpdatePeer records what another entry reports.
+func (s *Service) UpdatePeer(now time.Time, from ident.InstanceID, report PeerReport) {
 	s.countPeer(s.peers[from], -1)
-	s.peers[from] = peerCounts{at: now, running: running, demand: demand}
+	s.peers[from] = peerCounts{at: now, PeerReport: report}
 	s.countPeer(s.peers[from], 1)
+	s.observePeerRates(now, report.Rates)
 }
 
 // dropStalePeers drops the counts of entries that sent none for longer than peerTTL.
@@ -230,7 +248,7 @@
 	own := s.demand.rate(now) + minDemand
 	all := own
 	for _, p := range s.peers {
-		all += p.demand + minDemand
+		all += p.Demand + minDemand
 	}
 	return own / all
 }
@@ -384,9 +402,10 @@
 }
 
 // Started counts a request that was sent to the server.
-func (s *Service) Started(id ident.ServerID) {
+func (s *Service) Started(now time.Time, id ident.ServerID) {
 	if b := s.servers[id]; b != nil {
 		b.running++
+		b.rate.started(now)
 	}
 }
 
--- a/internal/decide/intake/intake_test.go
+++ b/internal/decide/intake/intake_test.go
@@ -39,7 +39,7 @@
 			return n
 		}
 		server, _ := s.Pick(start, nil)
-		s.Started(server.ID)
+		s.Started(start, server.ID)
 	}
 }
 
@@ -50,7 +50,7 @@
 	for _, gap := range []time.Duration{45 * time.Millisecond, 110 * time.Millisecond} {
 		s := newService(engine(), 16)
 		for n := range 80 {
-			s.Started(ident.ServerID(fmt.Sprint(n % 16)))
+			s.Started(start, ident.ServerID(fmt.Sprint(n%16)))
 		}
 		for range 200 {
 			s.ObserveGap(start, gap)
@@ -77,7 +77,7 @@
 	for n := range 16 {
 		other[ident.ServerID(fmt.Sprint(n))] = alone / 16
 	}
-	s.UpdatePeer(start, "other", other, s.Demand(start))
+	s.UpdatePeer(start, "other", intake.PeerReport{Running: other, Demand: s.Demand(start)})
 	own := fill(s, intake.OnTime)
 	t.Logf("alone %d, beside a full entry %d", alone, own)
 	must.Between(t, alone*4/10, own, alone*6/10)
@@ -86,7 +86,7 @@
 // Guards against counts of a stopped entry that hold slots for good.
 func TestCountsOfASilentEntryAreForgotten(t *testing.T) {
 	s := newService(engine(), 16)
-	s.UpdatePeer(start.Add(-2*time.Second), "gone", map[ident.ServerID]int{"0": 500}, 100)
+	s.UpdatePeer(start.Add(-2*time.Second), "gone", intake.PeerReport{Running: map[ident.ServerID]int{"0": 500}, Demand: 100})
 	state, ok := s.Admit(start, intake.OnTime, gapTarget)
 	must.True(t, ok)
 	must.Eq(t, 0, state.Running)
@@ -124,7 +124,7 @@
 	counts := make(map[ident.ServerID]int)
 	for range 160 {
 		server, _ := s.Pick(start, nil)
-		s.Started(server.ID)
+		s.Started(start, server.ID)
 		counts[server.ID]++
 	}
 	for _, n := range counts {
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -59,6 +59,8 @@
 	// answerBegan reports whether the head of the current attempt's answer has arrived,
 	// serverCrashed whether its server crashed before any output.
 	answerBegan, serverCrashed bool
+	// answeredAt is when the current attempt got an answer that announces no rate.
+	answeredAt time.Time
 	// serverFailed reports whether the current attempt counts as a failure of its server.
 	serverFailed bool
 	// misdirected reports whether another server now has the address of the current server.
@@ -225,7 +227,7 @@
 func (c *clientRequest) startAttempt(now time.Time, a request.Offer) {
 	ctx, cancel := context.WithCancel(c.request.Context())
 	c.cancel, c.currentAttempt = cancel, a.Attempt
-	c.answerBegan, c.outputBegan, c.serverCrashed = false, false, false
+	c.answerBegan, c.outputBegan, c.serverCrashed, c.answeredAt = false, false, false, time.Time{}
 	c.serverFailed, c.misdirected, c.silenceDeadline = false, false, time.Time{}
 	left := c.timeout - now.Sub(c.arrived)
 	if c.route.Kind == record.Repeatable && c.lifecycle.SentAttempts() < c.route.MaxAttempts {
@@ -265,7 +267,7 @@
 func (c *clientRequest) endAttempt(a request.EndAttempt) {
 	c.handler.dispatch.Send(detached(c.request), attemptEnded{
 		service: c.service, server: a.Server, failed: c.serverFailed, misdirected: c.misdirected,
-		parts: c.meta.PromptParts, crashed: c.serverCrashed, answerBegan: c.answerBegan,
+		parts: c.meta.PromptParts, crashed: c.serverCrashed, answerBegan: c.answerBegan, answeredAt: c.answeredAt,
 	})
 	if c.serverFailed {
 		c.handler.metrics.broken.Inc()
@@ -281,9 +283,11 @@
 		c.step(now, request.NotSent{Attempt: c.currentAttempt})
 	case upstream.AnswerReceived:
 		c.silenceDeadline = time.Time{}
+		c.observeRate(now, e.Head)
 		c.handleAnswer(now, e)
 	case upstream.StreamStarted:
 		c.silenceDeadline, c.answerBegan = time.Time{}, true
+		c.observeRate(now, e.Head)
 		if c.streamHead == nil {
 			c.streamHead = &e
 		}
@@ -298,6 +302,18 @@
 	}
 }
 
+// observeRate reports the rate that a backend server's answer announces. That an answer
+// announces none is reported with the end of the attempt.
+func (c *clientRequest) observeRate(now time.Time, head call.Head) {
+	switch {
+	case !head.Signed && !head.NotRun:
+	case head.HasRate:
+		c.handler.dispatch.Send(detached(c.request), rateObserved{service: c.service, server: c.currentServer.ID, perSecond: head.Rate})
+	default:
+		c.answeredAt = now
+	}
+}
+
 func (c *clientRequest) failAttempt(now time.Time, reason outcome.Reason, detail string) {
 	c.serverFailed = true
 	c.log("request.attempt-broken", reason, fmt.Sprintf("%s; output begun %t, server crashed %t, shared prompt parts %v", detail, c.outputBegan, c.serverCrashed, c.meta.PromptParts))
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -67,6 +67,14 @@
 		// crashed reports whether the server crashed before the first output, and
 		// answerBegan whether the head of the answer had arrived by then.
 		crashed, answerBegan bool
+		// answeredAt is when an answer arrived that announces no rate, zero without one.
+		answeredAt time.Time
+	}
+	// rateObserved reports an answer in which a server announces a rate.
+	rateObserved struct {
+		service   ident.ServiceName
+		server    ident.ServerID
+		perSecond float64
 	}
 	// gapObserved reports the mean time between two events of a stream.
 	gapObserved struct {
@@ -91,6 +99,7 @@
 func (admit) isDispatchMessage()           {}
 func (choose) isDispatchMessage()          {}
 func (attemptEnded) isDispatchMessage()    {}
+func (rateObserved) isDispatchMessage()    {}
 func (gapObserved) isDispatchMessage()     {}
 func (setRoutes) isDispatchMessage()       {}
 func (setServers) isDispatchMessage()      {}
@@ -191,6 +200,8 @@
 		m.reply <- d.choose(now, m)
 	case attemptEnded:
 		d.endAttempt(now, m)
+	case rateObserved:
+		d.observeRate(now, m)
 	case gapObserved:
 		d.service(m.service).ObserveGap(now, m.gap)
 	case setRoutes:
@@ -341,7 +352,7 @@
 func (d *dispatch) pickServer(now time.Time, service ident.ServiceName, tried []ident.ServerID) (registry.Server, bool) {
 	server, ok := d.service(service).Pick(now, tried)
 	if ok {
-		d.service(service).Started(server.ID)
+		d.service(service).Started(now, server.ID)
 	}
 	return server, ok
 }
@@ -349,6 +360,9 @@
 func (d *dispatch) endAttempt(now time.Time, m attemptEnded) {
 	s := d.service(m.service)
 	s.Ended(now, m.server, m.failed)
+	if !m.answeredAt.IsZero() && s.ObserveRate(now, m.answeredAt, m.server, 0, false) {
+		d.logger.Info().Str("server", string(m.server)).Msg("backend server no longer announces a rate")
+	}
 	if m.crashed {
 		d.recordCrash(now, m)
 	} else {
@@ -359,6 +373,12 @@
 	}
 }
 
+func (d *dispatch) observeRate(now time.Time, m rateObserved) {
+	if d.service(m.service).ObserveRate(now, now, m.server, m.perSecond, true) {
+		d.logger.Info().Str("server", string(m.server)).Float64("per_second", m.perSecond).Msg("backend server announced a rate")
+	}
+}
+
 func (d *dispatch) setRoutes(now time.Time, r *record.Routes) {
 	d.routes = r
 	for name, s := range r.Services() {
@@ -402,8 +422,16 @@
 	for _, one := range m.report.Demand {
 		demand[one.Service] = one.PerSecond
 	}
+	rates := make(map[ident.ServerID]intake.RateReport, len(m.report.Rates))
+	for _, r := range m.report.Rates {
+		if id, known := d.tags[r.Server]; known {
+			rates[id] = intake.RateReport{
+				Started: r.Started, PerSecond: r.PerSecond, Announced: r.Announced, AnsweredAt: now.Add(-r.Age), FirstHand: r.FirstHand,
+			}
+		}
+	}
 	for name, s := range d.services {
-		s.UpdatePeer(now, m.from, byServer, demand[name])
+		s.UpdatePeer(now, m.from, intake.PeerReport{Running: byServer, Demand: demand[name], Rates: rates})
 	}
 }
 
@@ -424,11 +452,22 @@
 // report returns this entry's requests at each server, and the demand for each service.
 func (d *dispatch) report(now time.Time) *message.EntryReport {
 	r := new(message.EntryReport)
+	limited := 0
 	for name, s := range d.services {
 		r.Demand = append(r.Demand, message.ServiceDemand{Service: name, PerSecond: s.Demand(now)})
 		for id, n := range s.Running() {
 			r.Servers = append(r.Servers, message.ServerWork{Server: message.TagOf(id), Running: n})
 		}
+		for id, one := range s.Rates(now) {
+			if one.Announced {
+				limited++
+			}
+			r.Rates = append(r.Rates, message.AnnouncedRate{
+				Server: message.TagOf(id), Started: one.Started, PerSecond: one.PerSecond, Announced: one.Announced,
+				Age: now.Sub(one.AnsweredAt), FirstHand: one.FirstHand,
+			})
+		}
 	}
+	d.metrics.rateLimited.Set(float64(limited))
 	return r
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -116,6 +116,20 @@
 	f.t.Fatalf("%s: timed out", what)
 }
 
+// awaitMetric waits until the entry's metrics have the line.
+func (f *fixture) awaitMetric(what, line string) {
+	f.t.Helper()
+	f.eventually(what, func() bool {
+		response, err := http.Get("http://" + f.settings.Metrics + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		return err == nil && strings.Contains(string(text), "\n"+line+"\n")
+	})
+}
+
 // answer is the answer that a client received.
 type answer struct {
 	status int
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	version     prometheus.Gauge
 	crashes     prometheus.Counter
 	quarantined prometheus.Gauge
+	rateLimited prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -41,7 +42,9 @@
 			Name: "anvilpoint_backend_crashes_total", Help: "Attempts whose backend server crashed before the first output."}),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "anvilpoint_quarantined_prompt_parts", Help: "Prompt parts that are kept from the model engines."}),
+		rateLimited: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "anvilpoint_rate_limited_servers", Help: "Backend servers that announce how many requests a second they take."}),
 	}
-	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined)
+	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined, m.rateLimited)
 	return m
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -1,9 +1,7 @@
 package gateway_test
 
 import (
-	"io"
 	"net/http"
-	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -14,15 +12,7 @@
 // awaitQuarantine waits until the entry holds a prompt part.
 func (f *fixture) awaitQuarantine() {
 	f.t.Helper()
-	f.eventually("the entry knows of the crash", func() bool {
-		response, err := http.Get("http://" + f.settings.Metrics + "/metrics")
-		if err != nil {
-			return false
-		}
-		defer response.Body.Close()
-		text, err := io.ReadAll(response.Body)
-		return err == nil && strings.Contains(string(text), "\nanvilpoint_quarantined_prompt_parts 1")
-	})
+	f.awaitMetric("the entry knows of the crash", "anvilpoint_quarantined_prompt_parts 1")
 }
 
 // Guards against a prompt part that crashes one backend server after the other, by the
--- a/internal/message/hosted.go
+++ b/internal/message/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 )
@@ -37,6 +38,25 @@
 	Demand []ServiceDemand
 	// Slow lists the slow backend servers that groups recently reported to the sender.
 	Slow []ServerSlowdown
+	// Rates lists the backend servers that announce a rate, or did so until recently.
+	Rates []AnnouncedRate
+}
+
+// AnnouncedRate is what an entry knows of the rate at which a backend server takes
+// requests from all entries together.
+type AnnouncedRate struct {
+	_      struct{} `cbor:",toarray"`
+	Server ServerTag
+	// Started is the number of requests that the sender has sent to the server within the
+	// last four seconds.
+	Started int
+	// PerSecond is the rate. Announced is false if the server announces none any more.
+	PerSecond float64
+	Announced bool
+	// Age is the time since the server's answer. FirstHand reports whether the sender has
+	// received it itself.
+	Age       time.Duration
+	FirstHand bool
 }
 
 // ServerSlowdown is the time that a backend server needs for some work, divided by the
