intake: share the rate that a server announces among the entries

What callers saw: little. A backend server that announced how many requests a second it takes from all entries together got up to twice that, from entries that had passed its announcement on.

Cause: servers were chosen by load and failures only; the announcement had no effect on first attempts or retries.

Change: each entry draws every half second how many requests it may send to such a server: its part of what all entries together have left of the rate over four seconds, by the counts in their reports, rounded at random. A server without quota is passed over; if no server is left, requests wait as for a slot.

Ruled out: a fixed part for each entry (wastes the rate at uneven demand); a credit with borrowing (tried: ten entries borrowed at once from a rate of one request in two seconds); a few entries for each server (refuses the clients of the others when all servers are limited).

--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -134,7 +134,9 @@
 			"pause": func(b *server) time.Duration { return max(minPause, b.pause) },
 		},
 	})
-	s.rates = chart.MustBind(charts.Must("announced-rate"), chart.Binding[*announcedRate]{})
+	s.rates = chart.MustBind(charts.Must("announced-rate"), chart.Binding[*announcedRate]{
+		Actions: map[string]func(*announcedRate){"resetQuota": func(r *announcedRate) { r.quota, r.drawnAt = 0, time.Time{} }},
+	})
 	return s
 }
 
@@ -321,12 +323,18 @@
 		state.Own += b.running
 		slowest = max(slowest, b.slowdown(now))
 	}
-	for _, b := range s.candidates(now, nil) {
+	candidates := s.candidates(now, nil)
+	allowed := s.withinRate(now, candidates)
+	for _, b := range candidates {
 		state.Usable++
-		slots += max(b.Slots, 1)
 		healthy += 1 / b.slowdown(now)
+		if slices.Contains(allowed, b) {
+			slots += max(b.Slots, 1)
+		} else if s.config.Engine == nil {
+			state.Running -= b.load()
+		}
 	}
-	if state.Usable == 0 {
+	if len(allowed) == 0 {
 		return state, false
 	}
 	if s.config.Engine == nil {
@@ -344,7 +352,7 @@
 	s.dropStalePeers(now)
 	var best *server
 	lowest := 0.0
-	for _, b := range s.candidates(now, tried) {
+	for _, b := range s.withinRate(now, s.candidates(now, tried)) {
 		if score := s.score(now, b); best == nil || score < lowest {
 			best, lowest = b, score
 		}
--- a/internal/decide/intake/ratelimit.go
+++ b/internal/decide/intake/ratelimit.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/chart"
@@ -19,6 +20,22 @@
 	// peerRateLag is how much older than it seems the announcement may be that another
 	// entry passes on: the age is stated when it is sent.
 	peerRateLag = 300 * time.Millisecond
+	// minRate, in requests a second, is used for lower rates. Without any request an entry
+	// would never learn that a server takes more again.
+	minRate = 0.1
+	// quotaInterval is how often an entry draws how many requests it may send to a server
+	// with a rate. The reports of the other entries are up to about 0.35 s old.
+	quotaInterval = 500 * time.Millisecond
+	// budgetRatio is the ratio of the requests that the rate allows in startWindow up to
+	// which quotas are given. Since quotas shrink with what is left, the entries together
+	// stay below it: at 0.98 of the rate if they always have requests.
+	budgetRatio = 1.1
+	// maxBurstRatio bounds the quotas of all entries in one interval, as a ratio of the
+	// requests that the rate allows in it.
+	maxBurstRatio = 2.0
+	// surgeEntries is how many entries may use the whole of what is left in one interval, if
+	// requests come to all of them at once after a time without demand.
+	surgeEntries = 4
 )
 
 // startCounter counts the requests that were sent to a server within startWindow.
@@ -50,7 +67,7 @@
 	return sum
 }
 
-// announcedRate is the rate that a server announces, and the requests that it got.
+// announcedRate is the rate that a server announces, and what this entry has used of it.
 type announcedRate struct {
 	lifecycle *chart.Lifecycle[*announcedRate]
 	// perSecond is the number of requests a second that the server takes from all entries.
@@ -60,6 +77,9 @@
 	answeredAt time.Time
 	firstHand  bool
 	starts     startCounter
+	// quota is the number of requests that this entry may still send before the next draw.
+	quota   int
+	drawnAt time.Time
 	// startsElsewhere is the number of requests that the other entries have sent within
 	// startWindow.
 	startsElsewhere int
@@ -79,9 +99,32 @@
 	return changed || before != r.lifecycle.State()
 }
 
+// left returns how many requests all entries together may send in the next interval.
+func (r *announcedRate) left(now time.Time) float64 {
+	rate := max(r.perSecond, minRate)
+	sent := float64(r.starts.count(now) + r.startsElsewhere)
+	burst := max(maxBurstRatio*rate*quotaInterval.Seconds(), 1)
+	return max(min(budgetRatio*rate*startWindow.Seconds()-sent, burst), 0)
+}
+
+// drawDue reports whether this entry must draw its quota before it sends a request.
+func (r *announcedRate) drawDue(now time.Time) bool {
+	return r.lifecycle.In("limited") && now.Sub(r.drawnAt) >= quotaInterval
+}
+
+// draw sets the quota to a part of what is left, rounded at random so that the quotas of
+// many entries add up to it on average.
+func (r *announcedRate) draw(now time.Time, part, random float64) {
+	r.quota, r.drawnAt = int(r.left(now)*part+random), now
+}
+
+// allows reports whether this entry may send a request to the server.
+func (r *announcedRate) allows() bool { return !r.lifecycle.In("limited") || r.quota > 0 }
+
 // started counts a request that is sent to the server.
 func (r *announcedRate) started(now time.Time) {
 	r.starts.add(now)
+	r.quota--
 }
 
 // RateReport is what entries tell each other of the rate that a server announces.
@@ -137,3 +180,32 @@
 		}
 	}
 }
+
+// withinRate returns the servers to which this entry may send a request now.
+func (s *Service) withinRate(now time.Time, candidates []*server) []*server {
+	if !slices.ContainsFunc(candidates, func(b *server) bool { return b.rate.lifecycle.In("limited") }) {
+		return candidates
+	}
+	var allowed []*server
+	for _, b := range candidates {
+		if b.rate.drawDue(now) {
+			b.rate.draw(now, s.quotaPart(now), s.random.Float64())
+		}
+		if b.rate.allows() {
+			allowed = append(allowed, b)
+		}
+	}
+	return allowed
+}
+
+// quotaPart returns the part of what is left of a rate that this entry may use: its share of
+// the demand, or more if few requests are expected in an interval, since then most entries
+// have none.
+func (s *Service) quotaPart(now time.Time) float64 {
+	demand := s.demand.rate(now)
+	for _, p := range s.peers {
+		demand += p.Demand
+	}
+	expected := max(demand*quotaInterval.Seconds(), float64(len(s.peers)+1)/surgeEntries, 1)
+	return max(s.share(now), 1/expected)
+}
