gateway: give each dialer a random source of its own

TestDialersDoNotShareARandomSource, with eight addresses that refuse, shows three data races under -race before and none after.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,9 +166,8 @@
 	c.address = s.LinkListen
 	c.dispatch, c.notices, c.pool, c.logger = p.dispatch.mailbox, p.dispatch.notices, p.pool, p.options.Logger
 	c.drain = p.drain
-	random := p.random(2)
 	c.dial = func(ctx context.Context, address string) {
-		dialer := &link.Dialer{Config: p.links, Address: address, Network: p.options.Network, Random: random}
+		dialer := &link.Dialer{Config: p.links, Address: address, Network: p.options.Network, Random: p.random(2)}
 		p.group.Go("link to "+address, func(context.Context) error { return dialer.Run(ctx) })
 	}
 	for _, seed := range s.Seeds {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -69,7 +69,7 @@
 	for _, address := range []*string{&copied.Listen, &copied.ReadyListen, &copied.LinkListen, &copied.Metrics} {
 		*address = f.network.Address(f.t, "127.0.0.1")
 	}
-	copied.Instance, copied.Seeds = "entry-2", []string{f.settings.LinkListen}
+	copied.Instance, copied.Seeds = "entry-2", append([]string{f.settings.LinkListen}, f.settings.Seeds...)
 	other.start()
 	return &other
 }
@@ -169,6 +169,18 @@
 	return answer{status: response.StatusCode, header: response.Header, body: string(data), broken: err != nil}
 }
 
+// Guards against a random source that the dialers of several links share: each runs in a
+// task of its own, and the race detector reports the shared state.
+func TestDialersDoNotShareARandomSource(t *testing.T) {
+	f := newFixture(t)
+	for range 8 {
+		f.settings.Seeds = append(f.settings.Seeds, f.network.Address(t, "127.0.0.1"))
+	}
+	f.startPeer()
+	f.awaitMetric("the other entry has dialled", "anvilpoint_routes_version 1")
+	time.Sleep(300 * time.Millisecond)
+}
+
 // Guards against a request that reaches the replica modified, with the client's API
 // key, or without its account, and against an answer that is modified.
 func TestRequestAndAnswerAreForwardedUnchanged(t *testing.T) {
