--- a/internal/standin/dev/product_test.go
+++ b/internal/standin/dev/product_test.go
@@ -22,7 +22,7 @@
 )
 
 // startProduct runs a small installation of the real entries and sidecars.
-func startProduct(t *testing.T) *dev.Cluster {
+func startProduct(t *testing.T, changes ...func(*dev.Options)) *dev.Cluster {
 	t.Helper()
 	return start(t, func(o *dev.Options) {
 		o.Programs = dev.Programs{
@@ -32,6 +32,9 @@
 			},
 		}
 		o.Services = 2
+		for _, change := range changes {
+			change(o)
+		}
 	})
 }
 
