quarantine: learn fast from servers that do not form a group

Causes: (1) crashes within two seconds counted as one outage, also while other servers wrote output in between, so that a part with an old proof was not held. An outage now ends with output after its first crash. (2) A request that crashed one server and then the next counted like two requests that happened to be there. It now counts as two outages. (3) A proof from just before the crash that another entry sent, or an output in transit, seemed to be later and cleared the part. Proofs count from 0.4 s after a crash.

Four tests guard the cases; each fails without its part.

Conclusion: one more crash than before is possible on no path; parts that were never proven are held after one crash as before.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		for _, p := range s.Parts {
-			if !slices.Contains(parts, p) && !known.since(p, c.At) {
+			if !slices.Contains(parts, p) && !known.since(p, c.At.Add(proofLag)) {
 				parts = append(parts, p)
 			}
 		}
@@ -129,28 +129,34 @@
 }
 
 // outages counts the outages in which the part was a suspect since it was last shown to be
-// sound. The crashes are in the order in which they were reported, nearly that of time.
+// sound. A request that crashes a second server counts as one more.
 func (q *Quarantine) outages(p ident.PromptPart) int {
-	count := 0
-	var began time.Time
+	count, latest := 0, 0
 	for _, c := range q.crashes {
 		if !slices.Contains(c.open(&q.proofs), p) {
 			continue
 		}
-		if count == 0 || c.At.Sub(began).Abs() > outageTime {
+		if c.outage != latest {
+			count, latest = count+1, c.outage
+		}
+		if c.repeats(p) {
 			count++
-			began = c.At
 		}
 	}
 	return count
 }
 
+// repeats reports whether the part is one of a request that had crashed a server before.
+func (c *Crash) repeats(p ident.PromptPart) bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Repeated && slices.Contains(s.Parts, p) })
+}
+
 // weigh returns the evidence against each blamed part: the sum over the outages of the
 // greatest weight of a crash.
 func (q *Quarantine) weigh(blamed [][]ident.PromptPart) map[ident.PromptPart]float64 {
 	type tally struct {
-		sum, outage float64
-		began       time.Time
+		sum, weight float64
+		outage      int
 	}
 	tallies := make(map[ident.PromptPart]tally)
 	for n, parts := range blamed {
@@ -160,18 +166,18 @@
 			weight = fullWeight
 		}
 		for _, p := range parts {
-			t, known := tallies[p]
-			if known && c.At.Sub(t.began).Abs() <= outageTime {
-				t.outage = max(t.outage, weight)
+			t := tallies[p]
+			if t.outage == c.outage {
+				t.weight = max(t.weight, weight)
 			} else {
-				t = tally{sum: t.sum + t.outage, outage: weight, began: c.At}
+				t = tally{sum: t.sum + t.weight, weight: weight, outage: c.outage}
 			}
 			tallies[p] = t
 		}
 	}
 	weights := make(map[ident.PromptPart]float64, len(tallies))
 	for p, t := range tallies {
-		weights[p] = t.sum + t.outage
+		weights[p] = t.sum + t.weight
 	}
 	return weights
 }
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -34,10 +34,15 @@
 	memoryTime = 4 * maxHold
 	// trialTimeout is how long a trial may take until the next one may begin.
 	trialTimeout = 1500 * time.Millisecond
-	// outageTime is the time within which crashes count as one outage, and reports of a
-	// crash of one server as one crash. A group is down for longer after a crash, so that no
-	// part could be shown to be sound in between.
+	// outageTime is the time within which crashes without any output in between count as one
+	// outage, and reports of a crash of one server as one crash. A group is down for longer
+	// after a crash, so that no part could be shown to be sound in between.
 	outageTime = 2 * time.Second
+	// outputInTransit is how long after a crash output may arrive that was written before.
+	outputInTransit = 200 * time.Millisecond
+	// proofLag is how long after a crash a proof may seem to be that was earlier: it may be
+	// of output in transit, and its age is stated when another entry sends it.
+	proofLag = 400 * time.Millisecond
 	// settleTime is how long after a crash the reports and proofs of other entries may
 	// still arrive.
 	settleTime = 300 * time.Millisecond
@@ -52,6 +57,8 @@
 	// Began reports whether the head of the answer had arrived: the server was about to
 	// write the first output.
 	Began bool
+	// Repeated reports whether the request had crashed another server before.
+	Repeated bool
 }
 
 // Crash is a crash of a server, with the suspects of one or several entries.
@@ -62,6 +69,8 @@
 	// proven are the parts of suspects that were shown to be sound before the crash. They
 	// are kept here since proofs are forgotten earlier than crashes.
 	proven []ident.PromptPart
+	// outage numbers the outage in which the server crashed.
+	outage int
 }
 
 // Transition is a change of the state of an accused part, for the log.
@@ -79,6 +88,8 @@
 	proofs  proofs
 	crashes []*Crash
 	accused map[ident.PromptPart]*accusedPart
+	// latestOutput is when a server last began to write an answer of this entry.
+	latestOutput time.Time
 }
 
 // accusedPart is a part that may have crashed a server.
@@ -191,6 +202,7 @@
 // Output records that a server has begun to write an answer to a request with these
 // parts. It returns the proofs that matter to other entries.
 func (q *Quarantine) Output(now time.Time, parts []ident.PromptPart) []Proof {
+	q.latestOutput = now
 	var news []Proof
 	for _, p := range parts {
 		if q.suspected(p) {
@@ -215,7 +227,7 @@
 // suspected reports whether a crash is remembered to which the part may be the key, and no
 // output since has shown that it is sound.
 func (q *Quarantine) suspected(p ident.PromptPart) bool {
-	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.names(p) && !q.proofs.since(p, c.At) })
+	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.names(p) && !q.proofs.since(p, c.At.Add(proofLag)) })
 }
 
 // AddCrash records a crash that this entry or another one reports. It returns this entry's
@@ -248,14 +260,34 @@
 		}
 		return
 	}
+	c.outage = q.outageOf(c.At)
 	q.crashes = append(q.crashes, &c)
 	if len(q.crashes) > maxCrashes {
 		q.crashes = q.crashes[1:]
 	}
 }
 
+// outageOf returns the number of the outage of a crash: that of the latest crash, unless
+// servers have written output since it began or much time has passed.
+func (q *Quarantine) outageOf(at time.Time) int {
+	if len(q.crashes) == 0 {
+		return 1
+	}
+	latest := q.crashes[len(q.crashes)-1]
+	began := latest.At
+	for _, c := range q.crashes {
+		if c.outage == latest.outage && c.At.Before(began) {
+			began = c.At
+		}
+	}
+	if q.latestOutput.Sub(began) > outputInTransit || at.Sub(latest.At) > outageTime {
+		return latest.outage + 1
+	}
+	return latest.outage
+}
+
 func (s Suspect) equal(other Suspect) bool {
-	return s.Began == other.Began && slices.Equal(s.Parts, other.Parts)
+	return s.Began == other.Began && s.Repeated == other.Repeated && slices.Equal(s.Parts, other.Parts)
 }
 
 // Crashes returns the crashes whose cause is open, for an entry that knows none.
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -108,6 +108,52 @@
 	must.False(t, allowed(q, 60*time.Second, "turned"))
 }
 
+// Guards against a part that turned deadly and crashes one server after the other within two
+// seconds, because servers that do not form a group count as one outage.
+func TestCrashesOfIndependentServersAreSeparateOutages(t *testing.T) {
+	q := quarantine.New(nil)
+	q.Output(at(0), parts{"first", "turned"})
+	crashed(q, "s1", time.Second, waiting("first", "turned"))
+	q.Output(at(1500*time.Millisecond), parts{"first"})
+	crashed(q, "s2", 1600*time.Millisecond, waiting("first", "turned"))
+	must.True(t, allowed(q, 1700*time.Millisecond, "first"))
+	must.False(t, allowed(q, 1700*time.Millisecond, "turned"))
+}
+
+// Guards against a part that turned deadly and is sent on, although one request with it has
+// crashed two servers in a row.
+func TestRequestThatCrashesTwoServersIsEnoughEvidence(t *testing.T) {
+	q := quarantine.New(nil)
+	q.Output(at(0), parts{"turned"})
+	crashed(q, "s1", time.Second, waiting("turned"))
+	must.True(t, allowed(q, time.Second, "turned"))
+	crashed(q, "s2", 1010*time.Millisecond, quarantine.Suspect{Parts: parts{"turned"}, Repeated: true})
+	must.False(t, allowed(q, 1020*time.Millisecond, "turned"))
+}
+
+// Guards against a proof from just before a crash that arrives after it and clears the part
+// that caused it.
+func TestProofThatWasOnItsWayDuringTheCrashDoesNotClear(t *testing.T) {
+	q := quarantine.New(nil)
+	crashed(q, "s1", time.Second, suspect("deadly"))
+	q.AddProofs(at(1100*time.Millisecond), []quarantine.Proof{{Part: "deadly", At: at(1050 * time.Millisecond)}})
+	crashed(q, "s2", 4*time.Second, suspect("deadly"))
+	must.False(t, allowed(q, 5*time.Second, "deadly"))
+}
+
+// Guards against crashes that follow each other faster than outputs arrive and so count as
+// one outage for ever.
+func TestFrequentCrashesOfIndependentServersAreSeparateOutages(t *testing.T) {
+	q := quarantine.New(nil)
+	q.Output(at(0), parts{"first", "turned"})
+	for n := range 4 {
+		now := time.Second + time.Duration(n)*100*time.Millisecond
+		q.Output(at(now-50*time.Millisecond), parts{"first"})
+		crashed(q, ident.ServerID(rune('a'+n)), now, waiting("first", "turned"))
+	}
+	must.False(t, allowed(q, 1400*time.Millisecond, "turned"))
+}
+
 // Guards against an accusation that only one entry can refute, and against a proof that the
 // entry which has it does not pass on.
 func TestProofOfAnotherEntryClearsAPart(t *testing.T) {
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -59,6 +59,8 @@
 	// answerBegan reports whether the head of the current attempt's answer has arrived,
 	// serverCrashed whether its server crashed before any output.
 	answerBegan, serverCrashed bool
+	// crashes counts the attempts whose server crashed.
+	crashes int
 	// answeredAt is when the current attempt got an answer that announces no rate.
 	answeredAt time.Time
 	// serverFailed reports whether the current attempt counts as a failure of its server.
@@ -267,7 +269,7 @@
 func (c *clientRequest) endAttempt(a request.EndAttempt) {
 	c.handler.dispatch.Send(detached(c.request), attemptEnded{
 		service: c.service, server: a.Server, failed: c.serverFailed, misdirected: c.misdirected,
-		parts: c.meta.PromptParts, crashed: c.serverCrashed, answerBegan: c.answerBegan, answeredAt: c.answeredAt,
+		parts: c.meta.PromptParts, crashed: c.serverCrashed, answerBegan: c.answerBegan, crashedBefore: c.crashes > 1, answeredAt: c.answeredAt,
 	})
 	if c.serverFailed {
 		c.handler.metrics.broken.Inc()
@@ -298,6 +300,9 @@
 		c.step(now, request.Completed{Attempt: c.currentAttempt})
 	case upstream.Failed:
 		c.serverCrashed = e.Crashed
+		if e.Crashed {
+			c.crashes++
+		}
 		c.failAttempt(now, outcome.ReasonServerFailed, e.Err.Error())
 	}
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -67,6 +67,8 @@
 		// crashed reports whether the server crashed before the first output, and
 		// answerBegan whether the head of the answer had arrived by then.
 		crashed, answerBegan bool
+		// crashedBefore reports whether the request had crashed another server before.
+		crashedBefore bool
 		// answeredAt is when an answer arrived that announces no rate, zero without one.
 		answeredAt time.Time
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -70,7 +70,7 @@
 
 // recordCrash records that a server crashed before the first output of an attempt.
 func (d *dispatch) recordCrash(now time.Time, m attemptEnded) {
-	c := quarantine.Crash{Server: m.server, At: now, Suspects: []quarantine.Suspect{{Parts: m.parts, Began: m.answerBegan}}}
+	c := quarantine.Crash{Server: m.server, At: now, Suspects: []quarantine.Suspect{{Parts: m.parts, Began: m.answerBegan, Repeated: m.crashedBefore}}}
 	d.notify(crashReport(now, m.service, c))
 	d.addCrash(now, m.service, c)
 	d.metrics.crashes.Inc()
@@ -92,7 +92,7 @@
 func crashReport(now time.Time, service ident.ServiceName, c quarantine.Crash) *message.CrashReport {
 	m := &message.CrashReport{Service: service, Server: c.Server, Age: now.Sub(c.At)}
 	for _, s := range c.Suspects {
-		m.Suspects = append(m.Suspects, message.CrashSuspect{Parts: s.Parts, Began: s.Began})
+		m.Suspects = append(m.Suspects, message.CrashSuspect{Parts: s.Parts, Began: s.Began, Repeated: s.Repeated})
 	}
 	return m
 }
@@ -114,7 +114,7 @@
 	case *message.CrashReport:
 		c := quarantine.Crash{Server: m.Server, At: now.Add(-m.Age)}
 		for _, s := range m.Suspects {
-			c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: s.Parts, Began: s.Began})
+			c.Suspects = append(c.Suspects, quarantine.Suspect{Parts: s.Parts, Began: s.Began, Repeated: s.Repeated})
 		}
 		d.addCrash(now, m.Service, c)
 	case *message.PartsProven:
--- a/internal/message/quarantine.go
+++ b/internal/message/quarantine.go
@@ -24,6 +24,8 @@
 	Parts []ident.PromptPart
 	// Began reports whether the head of the answer had arrived.
 	Began bool
+	// Repeated reports whether the request had crashed another server before.
+	Repeated bool
 }
 
 // PartsProven tells the other entries which prompt parts did not crash the backend server
