soak: a prompt part that crashes servers, and servers that announce a rate

Now one kind of fault makes a prompt part deadly: a server that gets a request with it closes its connections and refuses new ones for half a second. A check counts the crashes; each entry may learn once in each incarnation. One mode of a server announces a rate, to exercise the quotas. Ports of a run follow from its seed: with random ones, parallel runs reached each other's servers while one was down (an unsafe request seemed to run twice).

The added kinds change which faults a seed draws.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -17,6 +17,8 @@
 	requestTimeout = 2 * time.Second
 	// maxAnswerLag is how long after requestTimeout an entry that runs may answer.
 	maxAnswerLag = time.Second
+	// maxCrashes is how often a prompt part may crash a server until all entries know it.
+	maxCrashes = 5
 )
 
 // checks collects the violations of the system's guarantees in a record.
@@ -36,6 +38,7 @@
 	c.refusals()
 	c.versions()
 	c.answered()
+	c.crashes()
 }
 
 // timed checks bounds on time, which hold only on a machine that is not busy.
@@ -65,6 +68,26 @@
 	}
 }
 
+// crashes guards against a prompt part that crashes one server after the other: each entry
+// may learn of it once in each incarnation, and once more for each interruption, and some
+// requests are on their way when the first crash happens.
+func (c *checks) crashes() {
+	crashes, allowed := 0, maxCrashes
+	for _, x := range c.record.arrivals {
+		if x.deadly {
+			crashes++
+		}
+	}
+	for n := range entryCount {
+		for _, in := range c.incarnations(fmt.Sprint("entry-", n)) {
+			allowed += 1 + len(in.interruptions)
+		}
+	}
+	if crashes > allowed {
+		c.failf("requests with one prompt part crashed servers %d times; %d are allowed", crashes, allowed)
+	}
+}
+
 // executionCounts returns how often each request ran, by its id.
 func (c *checks) executionCounts() map[string]int {
 	count := make(map[string]int)
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -15,6 +16,8 @@
 
 const (
 	workerCount = 12
+	// promptKinds is the number of first parts that prompts have.
+	promptKinds = 7
 	// clientTimeout is the timeout of a client for a whole answer. The routes end each
 	// request after 2 s.
 	clientTimeout = 4 * time.Second
@@ -57,6 +60,9 @@
 		GotConn: func(httptrace.GotConnInfo) { x.connected = true },
 	})
 	r := platformtest.NewRequest(c.t, method, e.listen, "own.example", "/"+kind+"/x", id, "key-1", "")
+	if kind == "streaming" {
+		c.setPrompt(r, id)
+	}
 	response, err := client.Do(r.WithContext(ctx))
 	if err == nil {
 		var body []byte
@@ -67,3 +73,16 @@
 	x.end, x.err = time.Now(), err
 	return x
 }
+
+// setPrompt gives every request one of a few first parts, and every tenth the part that can
+// crash servers.
+func (c *cluster) setPrompt(r *http.Request, id string) {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // A hash never returns an error.
+	n := h.Sum32()
+	parts := []string{fmt.Sprint("first-", n%promptKinds)}
+	if n%10 == 0 {
+		parts = append(parts, deadlyPart)
+	}
+	platformtest.SetPromptParts(r, append(parts, id)...)
+}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -29,11 +28,18 @@
 	// 0.3 s.
 	streamEvents  = 20
 	eventInterval = 15 * time.Millisecond
+	// deadlyPart is a prompt part that can crash servers, crashTime how long one is down.
+	deadlyPart = "deadly"
+	crashTime  = 500 * time.Millisecond
 	// Listening ports are chosen from minPort to maxPort-1. The range lies below the one
 	// from which Linux takes the ports of outgoing connections, so that no connection
 	// takes the port of a process that is being restarted.
 	minPort = 10000
 	maxPort = 30000
+	// portsPerRun is above the number of ports of one run. Runs of different seeds at the
+	// same time use different ports: with shared ones, requests reached servers of another
+	// run while a server was down.
+	portsPerRun = 50
 )
 
 // cluster is the whole system of one test run: the processes, the stand-ins around them
@@ -49,6 +55,8 @@
 	entries    []*entry
 	ranks      []*rank
 	engines    *platformtest.EngineGroup
+	// deadly reports whether requests with deadlyPart crash the server that gets them.
+	deadly atomic.Bool
 	// version is the newest published configuration.
 	version int
 	// logs is the folder of the settings and logs of the processes.
@@ -73,6 +81,8 @@
 	modeRefuse
 	// modeSlow adds 400 ms to every request.
 	modeSlow
+	// modeAnnounceRate announces a low rate.
+	modeAnnounceRate
 	// modeCutStream closes the connection in the middle of a stream.
 	modeCutStream
 	modeCount
@@ -130,10 +140,10 @@
 	c.engines = platformtest.NewEngineGroup(t, hosts, expertCount)
 	c.engines.RegisterEngines(c.store, "model")
 	c.publish(1)
+	ports := &portAllocator{next: int(seed % (maxPort - minPort) * portsPerRun)}
 	for n := range serverCount {
-		c.addServer(n)
+		c.addServer(n, ports)
 	}
-	ports := &portAllocator{next: rand.IntN(maxPort - minPort)}
 	c.startEntries(ports)
 	c.startRanks(ports, hosts)
 	return c
@@ -145,11 +155,12 @@
 	c.store.Put(platform.ConfigurationKey, platformtest.ConfigDocumentFor(version, "svc", fmt.Sprint("account-", version), c.engines.ServiceDocument("model")))
 }
 
-func (c *cluster) addServer(n int) {
+func (c *cluster) addServer(n int, ports *portAllocator) {
 	s := &server{name: fmt.Sprint("server-", n)}
 	s.replica = platformtest.NewReplica(c.t, s.name)
 	s.replica.SetHandler(func(rw http.ResponseWriter, r *http.Request) { c.serve(s, rw, r) })
-	s.proxy = newProxy(c.t, "127.0.0.1", s.replica.Address())
+	const host = "127.0.0.1"
+	s.proxy = newProxyAt(c.t, net.JoinHostPort(host, ports.allocate(c.t, host)), s.replica.Address())
 	c.register(s, "ready")
 	c.servers = append(c.servers, s)
 }
@@ -162,7 +173,12 @@
 // client account that the entry determined.
 func (c *cluster) serve(s *server, rw http.ResponseWriter, r *http.Request) {
 	x := execution{id: platformtest.RequestID(r), server: s.name, at: time.Now()}
+	x.deadly = c.deadly.Load() && platformtest.HasPromptPart(r, deadlyPart)
 	c.recorder.arrived(x)
+	if x.deadly {
+		s.proxy.crash(crashTime)
+		platformtest.DropConnection(rw, r)
+	}
 	mode := s.mode.Load()
 	if mode == modeRefuse {
 		platformtest.RefuseNotRun(rw, r)
@@ -172,6 +188,8 @@
 	switch {
 	case mode == modeDropAnswer:
 		platformtest.DropConnection(rw, r)
+	case mode == modeAnnounceRate:
+		platformtest.AnnounceRate(rw, "5")
 	case mode == modeSlow:
 		time.Sleep(400 * time.Millisecond)
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -43,7 +43,7 @@
 func (i *injector) pickKinds() []func() {
 	kinds := []func(){
 		i.entryFault, i.rankFault, i.serverConnectionFault, i.storeConnectionFault, i.storeOutage, i.serverMode,
-		i.drainServer, i.publish, i.publishOlder, i.changeHotExpert, i.engineConnectionFault,
+		i.drainServer, i.publish, i.publishOlder, i.changeHotExpert, i.engineConnectionFault, i.poison,
 	}
 	i.random.Shuffle(len(kinds), func(a, b int) { kinds[a], kinds[b] = kinds[b], kinds[a] })
 	return kinds[:3+i.random.IntN(len(kinds)-3)]
@@ -56,6 +56,7 @@
 		kinds[i.random.IntN(len(kinds))]()
 		time.Sleep(i.between(minInterval, maxInterval))
 	}
+	i.cluster.deadly.Store(false)
 	return i.undo.Stop(10 * time.Second)
 }
 
@@ -166,3 +167,6 @@
 }
 
 func (i *injector) changeHotExpert() { i.cluster.engines.SetHotExpert(i.random.IntN(expertCount)) }
+
+// poison makes a prompt part deadly until the end of the run.
+func (i *injector) poison() { i.cluster.deadly.Store(true) }
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -14,9 +14,10 @@
 // proxy forwards TCP connections to a target over loopback. It can delay the data, hold
 // it back in either direction, and reset the connections.
 type proxy struct {
-	listener net.Listener
-	target   string
-	group    *task.Group
+	// listenAddress is the host and port of the proxy.
+	listenAddress string
+	target        string
+	group         *task.Group
 	// calls are the functions that the task of run calls. That task owns the fields
 	// below.
 	calls chan func()
@@ -26,6 +27,11 @@
 	// changed is closed and replaced when delay or blocked changes.
 	changed chan struct{}
 	open    map[*net.TCPConn]struct{}
+	// listener accepts connections unless the proxy has crashed. Failed is set if it could
+	// not listen again.
+	listener net.Listener
+	crashed  bool
+	failed   error
 }
 
 // The directions of a proxy are indices of its blocked field.
@@ -36,24 +42,66 @@
 
 func newProxy(t *testing.T, host, target string) *proxy {
 	t.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	return newProxyAt(t, net.JoinHostPort(host, "0"), target)
+}
+
+func newProxyAt(t *testing.T, address, target string) *proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
 	must.NoError(t, err)
 	p := &proxy{
-		listener: l, target: target, group: task.NewGroup(context.Background()), calls: make(chan func()),
+		listener: l, listenAddress: l.Addr().String(), target: target, group: task.NewGroup(context.Background()), calls: make(chan func()),
 		changed: make(chan struct{}), open: make(map[*net.TCPConn]struct{}),
 	}
 	p.group.Go("owner", p.run)
-	p.group.Go("accept", p.accept)
+	p.group.Go("accept", func(context.Context) error { return p.accept(l) })
 	t.Cleanup(func() {
 		p.set(0, false, false)
 		p.reset()
-		_ = l.Close()
+		p.do(func() {
+			if p.failed != nil {
+				t.Errorf("the proxy could not listen again: %v", p.failed)
+			}
+			_ = p.listener.Close()
+		})
 		must.NoError(t, p.group.Stop(10*time.Second))
 	})
 	return p
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listenAddress }
+
+// crash closes all connections and refuses new ones for the given time, as a server that
+// crashes and starts again.
+func (p *proxy) crash(downTime time.Duration) {
+	p.do(func() {
+		if p.crashed {
+			return
+		}
+		p.crashed = true
+		_ = p.listener.Close()
+		for c := range p.open {
+			_ = c.Close()
+		}
+		p.group.Go("restart", func(ctx context.Context) error {
+			task.Sleep(ctx, downTime)
+			p.do(p.listenAgain)
+			return nil
+		})
+	})
+}
+
+// listenAgain ends a crash. The port is outside the range of outgoing connections, so that
+// it is still free.
+func (p *proxy) listenAgain() {
+	l, err := net.Listen("tcp", p.listenAddress)
+	if err != nil {
+		p.failed = err
+		return
+	}
+	p.listener, p.crashed = l, false
+	p.group.Go("accept", func(context.Context) error { return p.accept(l) })
+}
 
 func (p *proxy) run(context.Context) error {
 	for {
@@ -99,9 +147,9 @@
 	})
 }
 
-func (p *proxy) accept(context.Context) error {
+func (p *proxy) accept(l net.Listener) error {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return nil
 		}
--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -33,6 +33,8 @@
 type execution struct {
 	id, server string
 	at         time.Time
+	// deadly reports whether the request crashed the server.
+	deadly bool
 }
 
 // result is what a client saw of one request.
