gateway, message: report announced rates in a message of their own

Found while reading the change: the rates were a further field of EntryReport, which entries send each other seven times a second. A process of the build before cannot decode an array with more elements than its struct has fields and closes the link, so that during an update old and new entries would not know of each other's requests at all.

Now AnnouncedRates goes before the report, and only while a server announces a rate.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -257,16 +257,19 @@
 		c.publishServers(ctx)
 	}
 	c.reports++
-	m, ok := task.Ask(ctx, c.dispatch, func(reply chan<- *message.EntryReport) dispatchMessage { return getReport{reply: reply} })
+	m, ok := task.Ask(ctx, c.dispatch, func(reply chan<- ownReport) dispatchMessage { return getReport{reply: reply} })
 	if !ok {
 		return
 	}
-	m.Routes = c.version()
+	m.report.Routes = c.version()
 	if now.Sub(c.slowServersAt) < slowServersTTL {
-		m.Slow = c.slowServers
+		m.report.Slow = c.slowServers
 	}
 	for _, l := range c.linkPerPeer() {
-		l.Send(m)
+		if len(m.rates.Rates) > 0 {
+			l.Send(m.rates)
+		}
+		l.Send(m.report)
 		if c.reports%reportsPerAddressList == 0 {
 			l.Send(&message.ProcessAddresses{Own: c.address, Addresses: c.entryAddresses})
 		}
@@ -319,6 +322,8 @@
 		if c.shouldPull(now, m.Routes) {
 			from.Send(&message.RoutesPull{After: c.version()})
 		}
+	case *message.AnnouncedRates:
+		c.dispatch.Send(ctx, peerRates{from: from.Peer().Instance, rates: m.Rates})
 	case *message.SlowServers:
 		c.slowServers, c.slowServersAt = m.Slow, now
 		c.dispatch.Send(ctx, updateSlowdowns{slow: m.Slow})
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -94,7 +94,12 @@
 	updateSlowdowns struct{ slow []message.ServerSlowdown }
 	// getReport asks for the report of this entry's requests.
 	getReport struct {
-		reply chan<- *message.EntryReport
+		reply chan<- ownReport
+	}
+	// peerRates holds the announced rates of another entry, of whom a report follows.
+	peerRates struct {
+		from  ident.InstanceID
+		rates []message.AnnouncedRate
 	}
 )
 
@@ -108,6 +113,7 @@
 func (peerReport) isDispatchMessage()      {}
 func (getReport) isDispatchMessage()       {}
 func (updateSlowdowns) isDispatchMessage() {}
+func (peerRates) isDispatchMessage()       {}
 
 // admission answers admit. The request is admitted if the status is zero.
 type admission struct {
@@ -153,6 +159,8 @@
 	budget   routing.WindowConfig
 	// entries holds when each of the other entries last sent a report.
 	entries map[ident.InstanceID]time.Time
+	// rates holds the announced rates of other entries until their report arrives.
+	rates   map[ident.InstanceID][]message.AnnouncedRate
 	metrics *metrics
 	logger  zerolog.Logger
 	// quarantines hold the prompt parts that may crash the servers of each service.
@@ -171,6 +179,7 @@
 		budgets:  make(map[ident.ServiceName]*routing.WindowBudget),
 		entries:  make(map[ident.InstanceID]time.Time),
 
+		rates:       make(map[ident.InstanceID][]message.AnnouncedRate),
 		quarantines: make(map[ident.ServiceName]*quarantine.Quarantine),
 		notices:     task.NewMailbox[message.Message](noticeCapacity, task.DropOldest),
 	}
@@ -210,6 +219,8 @@
 		d.setRoutes(now, m.routes)
 	case setServers:
 		d.setServers(now, m.servers)
+	case peerRates:
+		d.rates[m.from] = m.rates
 	case peerReport:
 		d.updatePeer(now, m)
 		d.updateSlowdowns(now, m.report.Slow)
@@ -375,12 +386,6 @@
 	}
 }
 
-func (d *dispatch) observeRate(now time.Time, m rateObserved) {
-	if d.service(m.service).ObserveRate(now, now, m.server, m.perSecond, true) {
-		d.logger.Info().Str("server", string(m.server)).Float64("per_second", m.perSecond).Msg("backend server announced a rate")
-	}
-}
-
 func (d *dispatch) setRoutes(now time.Time, r *record.Routes) {
 	d.routes = r
 	for name, s := range r.Services() {
@@ -411,65 +416,3 @@
 		s.SetServers(now, byService[name])
 	}
 }
-
-func (d *dispatch) updatePeer(now time.Time, m peerReport) {
-	d.entries[m.from] = now
-	byServer := make(map[ident.ServerID]int, len(m.report.Servers))
-	for _, w := range m.report.Servers {
-		if id, known := d.tags[w.Server]; known {
-			byServer[id] = w.Running
-		}
-	}
-	demand := make(map[ident.ServiceName]float64, len(m.report.Demand))
-	for _, one := range m.report.Demand {
-		demand[one.Service] = one.PerSecond
-	}
-	rates := make(map[ident.ServerID]intake.RateReport, len(m.report.Rates))
-	for _, r := range m.report.Rates {
-		if id, known := d.tags[r.Server]; known {
-			rates[id] = intake.RateReport{
-				Started: r.Started, PerSecond: r.PerSecond, Announced: r.Announced, AnsweredAt: now.Add(-r.Age), FirstHand: r.FirstHand,
-			}
-		}
-	}
-	for name, s := range d.services {
-		s.UpdatePeer(now, m.from, intake.PeerReport{Running: byServer, Demand: demand[name], Rates: rates})
-	}
-}
-
-// updateSlowdowns records the slow servers that a group reports.
-func (d *dispatch) updateSlowdowns(now time.Time, slow []message.ServerSlowdown) {
-	if len(slow) == 0 {
-		return
-	}
-	slowdowns := make(map[string]float64, len(slow))
-	for _, one := range slow {
-		slowdowns[one.Address] = one.Slowdown
-	}
-	for _, s := range d.services {
-		s.UpdateSlowdowns(now, slowdowns)
-	}
-}
-
-// report returns this entry's requests at each server, and the demand for each service.
-func (d *dispatch) report(now time.Time) *message.EntryReport {
-	r := new(message.EntryReport)
-	limited := 0
-	for name, s := range d.services {
-		r.Demand = append(r.Demand, message.ServiceDemand{Service: name, PerSecond: s.Demand(now)})
-		for id, n := range s.Running() {
-			r.Servers = append(r.Servers, message.ServerWork{Server: message.TagOf(id), Running: n})
-		}
-		for id, one := range s.Rates(now) {
-			if one.Announced {
-				limited++
-			}
-			r.Rates = append(r.Rates, message.AnnouncedRate{
-				Server: message.TagOf(id), Started: one.Started, PerSecond: one.PerSecond, Announced: one.Announced,
-				Age: now.Sub(one.AnsweredAt), FirstHand: one.FirstHand,
-			})
-		}
-	}
-	d.metrics.rateLimited.Set(float64(limited))
-	return r
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,7 +200,7 @@
 	case message.KindHeartbeat:
 		return true
 	case message.KindEntryReport, message.KindProcessAddresses, message.KindRoutesPull, message.KindRoutesPush,
-		message.KindCrashReport, message.KindPartsProven, message.KindPartTrial:
+		message.KindCrashReport, message.KindPartsProven, message.KindPartTrial, message.KindAnnouncedRates:
 		return role == message.RoleEntry
 	case message.KindSlowServers:
 		return role == message.RoleSidecar
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -177,9 +177,9 @@
 	must.NotNil(t, ended)
 	must.Eq(t, any(http.ErrAbortHandler), ended.Value)
 	must.False(t, opened)
-	report, ok := task.Ask(context.Background(), f.d.mailbox, func(reply chan<- *message.EntryReport) dispatchMessage { return getReport{reply: reply} })
+	report, ok := task.Ask(context.Background(), f.d.mailbox, func(reply chan<- ownReport) dispatchMessage { return getReport{reply: reply} })
 	must.True(t, ok)
-	must.SliceEmpty(t, report.Servers)
+	must.SliceEmpty(t, report.report.Servers)
 	must.NoError(t, group.Stop(0))
 }
 
@@ -190,7 +190,7 @@
 	for range 2 {
 		must.Eq(t, 0, (<-one.ask(0, 0, 0)).status)
 	}
-	other.d.step(testStart, peerReport{from: "one", report: one.d.report(testStart)})
+	other.d.step(testStart, peerReport{from: "one", report: one.d.report(testStart).report})
 	must.Eq(t, 2, (<-other.ask(0, 0, 0)).state.Running)
 }
 
--- a/internal/message/hosted.go
+++ b/internal/message/hosted.go
@@ -38,6 +38,12 @@
 	Demand []ServiceDemand
 	// Slow lists the slow backend servers that groups recently reported to the sender.
 	Slow []ServerSlowdown
+}
+
+// AnnouncedRates goes before an EntryReport if there is any rate to report. It is a message
+// of its own, since an older process cannot decode a report with a further field.
+type AnnouncedRates struct {
+	_ struct{} `cbor:",toarray"`
 	// Rates lists the backend servers that announce a rate, or did so until recently.
 	Rates []AnnouncedRate
 }
--- a/internal/message/kinds.go
+++ b/internal/message/kinds.go
@@ -37,6 +37,7 @@
 func (*CrashReport) kind() Kind      { return KindCrashReport }
 func (*PartsProven) kind() Kind      { return KindPartsProven }
 func (*PartTrial) kind() Kind        { return KindPartTrial }
+func (*AnnouncedRates) kind() Kind   { return KindAnnouncedRates }
 
 // KindOf returns the message's frame type on the wire.
 func KindOf(m Message) Kind { return m.kind() }
@@ -118,6 +119,8 @@
 		return new(PartsProven)
 	case KindPartTrial:
 		return new(PartTrial)
+	case KindAnnouncedRates:
+		return new(AnnouncedRates)
 	default:
 		return nil
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -74,6 +74,7 @@
 	KindCrashReport
 	KindPartsProven
 	KindPartTrial
+	KindAnnouncedRates
 )
 
 // Digest identifies one accepted configuration record by its revision and the hash
