platform, gateway, decide/registry: log the store's era and what is ignored as outdated

Now each read of a prefix and each change of the era are logged with era and revision, and so are older routes and list entries that are ignored. anvilpoint_store_restores_total counts the restores that the watches noticed. No decision changes.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -78,45 +78,61 @@
 	r.unreachable, r.synced = false, true
 }
 
-// Replace applies a full read of the list. It reports whether the set of servers or
-// any of them changed.
-func (r *Registry) Replace(now time.Time, list []Server) bool {
+// Update is the effect of a read of the list.
+type Update struct {
+	// Changed reports whether the set of servers or any of them changed.
+	Changed bool
+	// Outdated are the list entries that were ignored, since newer ones are known.
+	Outdated []Server
+}
+
+// put applies one list entry.
+func (u *Update) put(r *Registry, s Server) {
+	if r.outdated(s) {
+		u.Outdated = append(u.Outdated, s)
+		return
+	}
+	u.Changed = r.put(s) || u.Changed
+}
+
+// Replace applies a full read of the list.
+func (r *Registry) Replace(now time.Time, list []Server) (u Update) {
 	r.reached(now)
-	changed := false
 	listed := make(map[ident.ServerID]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
-		changed = r.put(s) || changed
+		u.put(r, s)
 	}
 	for id := range r.servers {
 		if !listed[id] {
-			changed = r.remove(now, id) || changed
+			u.Changed = r.remove(now, id) || u.Changed
 		}
 	}
-	return changed
+	return u
 }
 
-// Apply applies changes in their order in the list. It reports whether the set of
-// servers or any of them changed.
-func (r *Registry) Apply(now time.Time, changes []Change) bool {
+// Apply applies changes in their order in the list.
+func (r *Registry) Apply(now time.Time, changes []Change) (u Update) {
 	r.reached(now)
-	changed := false
 	for _, c := range changes {
 		if c.Server != nil {
-			changed = r.put(*c.Server) || changed
+			u.put(r, *c.Server)
 			continue
 		}
-		changed = r.remove(now, c.ID) || changed
+		u.Changed = r.remove(now, c.ID) || u.Changed
 	}
-	return changed
+	return u
+}
+
+// outdated reports whether a newer list entry of the server is known.
+func (r *Registry) outdated(s Server) bool {
+	known, exists := r.servers[s.ID]
+	// A late write of an earlier process says nothing about the present one.
+	return exists && s.Started.Before(known.Started)
 }
 
 func (r *Registry) put(s Server) bool {
 	old, exists := r.servers[s.ID]
-	// A late write of an earlier process says nothing about the present one.
-	if exists && s.Started.Before(old.Started) {
-		return false
-	}
 	delete(r.lapsed, s.ID)
 	r.servers[s.ID] = s
 	return !exists || !old.sameAs(s)
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -24,7 +24,7 @@
 func TestRemovedServerIsGoneAtOnce(t *testing.T) {
 	r := registry.New()
 	r.Replace(start, []registry.Server{server("a"), server("b")})
-	must.True(t, r.Apply(start, []registry.Change{gone("a")}))
+	must.True(t, r.Apply(start, []registry.Change{gone("a")}).Changed)
 	must.SliceLen(t, 1, r.Servers())
 }
 
@@ -35,7 +35,7 @@
 	r.Replace(start, []registry.Server{server("a"), server("b")})
 	r.SetUnreachable()
 	back := start.Add(5 * time.Second)
-	must.False(t, r.Replace(back, nil))
+	must.False(t, r.Replace(back, nil).Changed)
 	must.SliceLen(t, 2, r.Servers())
 	r.Apply(back.Add(time.Second), []registry.Change{change(server("a"))})
 	must.False(t, r.Tick(back.Add(2*time.Second)))
@@ -50,7 +50,7 @@
 	now := server("a")
 	now.Started, now.Leaving = start.Add(time.Minute), true
 	r.Replace(start, []registry.Server{now})
-	must.False(t, r.Apply(start, []registry.Change{change(server("a"))}))
+	must.False(t, r.Apply(start, []registry.Change{change(server("a"))}).Changed)
 	must.True(t, r.Servers()[0].Leaving)
 }
 
@@ -60,7 +60,7 @@
 	r.Replace(start, []registry.Server{server("a")})
 	next := server("a")
 	next.Sequence = 7
-	must.False(t, r.Apply(start, []registry.Change{change(next)}))
+	must.False(t, r.Apply(start, []registry.Change{change(next)}).Changed)
 	next.Leaving = true
-	must.True(t, r.Apply(start, []registry.Change{change(next)}))
+	must.True(t, r.Apply(start, []registry.Change{change(next)}).Changed)
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -178,6 +178,9 @@
 		return
 	}
 	if c.routes != nil && routes.Version() <= c.routes.Version() {
+		if routes.Version() < c.routes.Version() {
+			c.logger.Info().Uint64("version", uint64(routes.Version())).Uint64("in_force", uint64(c.routes.Version())).Str("source", from).Msg("older routes ignored")
+		}
 		return
 	}
 	c.routes, c.document, c.behindSince = routes, document, time.Time{}
@@ -203,7 +206,7 @@
 		}
 		changes = append(changes, registry.Change{ID: id, Server: c.decodeServer(i)})
 	}
-	changed := false
+	var update registry.Update
 	if m.complete {
 		var list []registry.Server
 		for _, one := range changes {
@@ -211,11 +214,14 @@
 				list = append(list, *one.Server)
 			}
 		}
-		changed = c.registry.Replace(now, list)
+		update = c.registry.Replace(now, list)
 	} else {
-		changed = c.registry.Apply(now, changes)
+		update = c.registry.Apply(now, changes)
+	}
+	for _, s := range update.Outdated {
+		c.logger.Info().Str("server", string(s.ID)).Time("started", s.Started).Int64("sequence", s.Sequence).Bool("leaving", s.Leaving).Msg("outdated list entry of a backend server ignored")
 	}
-	if changed {
+	if update.Changed {
 		c.publishServers(ctx)
 	}
 	c.checkConfigured(now)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,8 @@
 	crashes     prometheus.Counter
 	quarantined prometheus.Gauge
 	rateLimited prometheus.Gauge
+	// storeRestores counts the restores of the store, once for each watch.
+	storeRestores prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -44,7 +46,9 @@
 			Name: "anvilpoint_quarantined_prompt_parts", Help: "Prompt parts that are kept from the model engines."}),
 		rateLimited: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "anvilpoint_rate_limited_servers", Help: "Backend servers that announce how many requests a second they take."}),
+		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "anvilpoint_store_restores_total", Help: "Restores of the platform's store from a copy, as each watch noticed them."}),
 	}
-	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined, m.rateLimited)
+	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined, m.rateLimited, m.storeRestores)
 	return m
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -46,6 +46,8 @@
 	unreachable func(ctx context.Context)
 	metrics     *metrics
 	revision    uint64
+	// era is the era of the store's last answer.
+	era uint64
 }
 
 func (w *watcher) observe(t chart.Transition) {
@@ -53,7 +55,7 @@
 	case t.To == "unreachable" && t.From != t.To:
 		w.logger.Warn().Str("prefix", w.prefix).Uint64("revision", w.revision).Msg("call to the store failed; the items read so far stay in force")
 	case t.Event == "read":
-		w.logger.Info().Str("prefix", w.prefix).Uint64("revision", w.revision).Msg("all items of the prefix were read from the store")
+		w.logger.Info().Str("prefix", w.prefix).Uint64("era", w.era).Uint64("revision", w.revision).Msg("all items of the prefix were read from the store")
 	}
 }
 
@@ -80,6 +82,15 @@
 	return nil
 }
 
+// observeEra records the era of an answer of the store.
+func (w *watcher) observeEra(era uint64) {
+	if w.era != 0 && era != w.era {
+		w.metrics.storeRestores.Inc()
+		w.logger.Warn().Str("prefix", w.prefix).Uint64("from", w.era).Uint64("to", era).Uint64("revision", w.revision).Msg("the store was restored from a copy")
+	}
+	w.era = era
+}
+
 func (w *watcher) read(ctx context.Context) {
 	var all []platform.Item
 	after, first := "", uint64(0)
@@ -91,6 +102,7 @@
 			w.failed(ctx, err)
 			return
 		}
+		w.observeEra(page.Era)
 		if first == 0 {
 			// The pages are not one snapshot. Watching from the revision of the first
 			// page delivers again what changed while the others were read.
@@ -121,6 +133,7 @@
 	case err != nil:
 		w.failed(ctx, err)
 	default:
+		w.observeEra(page.Era)
 		w.lifecycle.Fire(time.Now(), "changed")
 		w.metrics.storeReads.WithLabelValues("watch").Inc()
 		w.revision = max(w.revision, page.Revision)
