gateway: read all items again when the store was restored from a copy

Callers saw routes and keys that the operators had replaced, and no route that they had added, until the next publish. Cause: a watch kept the highest revision that it had seen. A watch that waits through a restore is not told 410, and once the store has given out the revision again, the changes up to it are never delivered. Class of fault: an order by numbers whose source can start again.

An answer of a higher era now makes the watch read the whole prefix; an answer of a lower one counts as a failed call. Before this, TestRoutesPublishedAfterARestoreAreNotMissed failed ("the third routes are in force: timed out").

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -46,7 +46,7 @@
 	unreachable func(ctx context.Context)
 	metrics     *metrics
 	revision    uint64
-	// era is the era of the store's last answer.
+	// era is the era of the store in which all items were last read.
 	era uint64
 }
 
@@ -82,8 +82,8 @@
 	return nil
 }
 
-// observeEra records the era of an answer of the store.
-func (w *watcher) observeEra(era uint64) {
+// enterEra records the era of the store in which all items are read.
+func (w *watcher) enterEra(era uint64) {
 	if w.era != 0 && era != w.era {
 		w.metrics.storeRestores.Inc()
 		w.logger.Warn().Str("prefix", w.prefix).Uint64("from", w.era).Uint64("to", era).Uint64("revision", w.revision).Msg("the store was restored from a copy")
@@ -102,7 +102,7 @@
 			w.failed(ctx, err)
 			return
 		}
-		w.observeEra(page.Era)
+		w.enterEra(page.Era)
 		if first == 0 {
 			// The pages are not one snapshot. Watching from the revision of the first
 			// page delivers again what changed while the others were read.
@@ -132,8 +132,12 @@
 		w.lifecycle.Fire(time.Now(), "historyGone")
 	case err != nil:
 		w.failed(ctx, err)
+	case page.Era > w.era:
+		// The changes are counted from a revision that the store may have given out twice.
+		w.lifecycle.Fire(time.Now(), "restored")
+	case page.Era < w.era:
+		w.failed(ctx, errors.Errorf("watch %s: the answer is of era %d, before %d", w.prefix, page.Era, w.era))
 	default:
-		w.observeEra(page.Era)
 		w.lifecycle.Fire(time.Now(), "changed")
 		w.metrics.storeReads.WithLabelValues("watch").Inc()
 		w.revision = max(w.revision, page.Revision)
