gateway: start a read over if the store was restored between its pages

Callers' requests could go to servers of the lost history: a range read in pages may begin before a restore and end after it, and the joined list held items of both. Now a page of another era than the first one fails the read, which starts over after the usual pause. TestPagesOfTwoErasAreNotJoined failed before: the list lacked a server that the copy holds. Lists of one page (up to about 500 items) are not affected.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -102,8 +102,12 @@
 			w.failed(ctx, err)
 			return
 		}
-		w.enterEra(page.Era)
+		if first != 0 && page.Era != w.era {
+			w.failed(ctx, errors.Errorf("read %s: a page of era %d follows one of era %d", w.prefix, page.Era, w.era))
+			return
+		}
 		if first == 0 {
+			w.enterEra(page.Era)
 			// The pages are not one snapshot. Watching from the revision of the first
 			// page delivers again what changed while the others were read.
 			first = page.Revision
