decide/registry: order list entries by their writer, and remember servers that left

Callers' requests went to servers that were leaving or had left: list entries were ordered by the start of the server only, so an older entry of the same process, from the copy of a restored store, undid its leaving, and a server that had been removed came back with the copy. Class of fault: a late write that overwrites a newer one.

The count of writes, which was decoded and not compared, now orders the entries of one process. A removed server is remembered for ten minutes: an entry in a later era of the list counts only if it was written after the removed one. Within one era an entry that follows its removal is a new write, as before.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -1,6 +1,8 @@
 // Package registry keeps the set of backend servers from the watched instance
 // list. If the list was unreachable, servers whose list entries lapsed meanwhile
-// are kept until they have had time to register again.
+// are kept until they have had time to register again. List entries are ordered by
+// the start of the server and its count of writes, not by the list's revisions: a
+// list that is restored from a copy gives revisions out again.
 package registry
 
 import (
@@ -16,6 +18,10 @@
 // seconds of its end.
 const returnGrace = 2200 * time.Millisecond
 
+// departureTTL is how long a removed server is remembered. Copies from which the list is
+// restored are some seconds old.
+const departureTTL = 10 * time.Minute
+
 // Server is the list entry of a backend server.
 type Server struct {
 	ID      ident.ServerID
@@ -39,6 +45,15 @@
 	return s == other
 }
 
+// olderThan reports whether this list entry was written before the other one of the same
+// server. Entries without a start time cannot be ordered.
+func (s Server) olderThan(other Server) bool {
+	if s.Started.Equal(other.Started) {
+		return !s.Started.IsZero() && s.Sequence < other.Sequence
+	}
+	return s.Started.Before(other.Started)
+}
+
 // Change is a change of one list entry.
 type Change struct {
 	ID ident.ServerID
@@ -53,15 +68,30 @@
 	// lapsed are the servers whose list entries were removed around an outage of the
 	// list, with the deadline for their return.
 	lapsed map[ident.ServerID]time.Time
+	// departed are the servers that were removed within departureTTL.
+	departed map[ident.ServerID]departure
 	// restoredAt is the end of the last outage of the list.
-	restoredAt  time.Time
+	restoredAt time.Time
+	// era is the era of the last read.
+	era         uint64
 	unreachable bool
 	synced      bool
 }
 
+// departure is the last list entry of a server that was removed.
+type departure struct {
+	Server
+	// era is the era of the list in which the server was removed at the given time.
+	era uint64
+	at  time.Time
+}
+
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{servers: make(map[ident.ServerID]Server), lapsed: make(map[ident.ServerID]time.Time)}
+	return &Registry{
+		servers: make(map[ident.ServerID]Server), lapsed: make(map[ident.ServerID]time.Time),
+		departed: make(map[ident.ServerID]departure),
+	}
 }
 
 // Synced reports whether the list has been read at least once.
@@ -70,12 +100,12 @@
 // SetUnreachable records that the list cannot be reached.
 func (r *Registry) SetUnreachable() { r.unreachable = r.synced }
 
-// reached records a successful read of the list.
-func (r *Registry) reached(now time.Time) {
+// reached records a successful read of the list in an era.
+func (r *Registry) reached(now time.Time, era uint64) {
 	if r.unreachable {
 		r.restoredAt = now
 	}
-	r.unreachable, r.synced = false, true
+	r.era, r.unreachable, r.synced = era, false, true
 }
 
 // Update is the effect of a read of the list.
@@ -86,59 +116,68 @@
 	Outdated []Server
 }
 
-// put applies one list entry.
-func (u *Update) put(r *Registry, s Server) {
-	if r.outdated(s) {
+// put applies one list entry of an era.
+func (u *Update) put(r *Registry, era uint64, s Server) {
+	if r.outdated(era, s) {
 		u.Outdated = append(u.Outdated, s)
 		return
 	}
 	u.Changed = r.put(s) || u.Changed
 }
 
-// Replace applies a full read of the list.
-func (r *Registry) Replace(now time.Time, list []Server) (u Update) {
-	r.reached(now)
+// Replace applies a full read of the list. The era counts how often the list was restored
+// from a copy.
+func (r *Registry) Replace(now time.Time, era uint64, list []Server) (u Update) {
+	r.reached(now, era)
 	listed := make(map[ident.ServerID]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
-		u.put(r, s)
+		u.put(r, era, s)
 	}
 	for id := range r.servers {
 		if !listed[id] {
-			u.Changed = r.remove(now, id) || u.Changed
+			u.Changed = r.remove(now, era, id) || u.Changed
 		}
 	}
 	return u
 }
 
-// Apply applies changes in their order in the list.
-func (r *Registry) Apply(now time.Time, changes []Change) (u Update) {
-	r.reached(now)
+// Apply applies changes in their order in the list, in an era as for Replace.
+func (r *Registry) Apply(now time.Time, era uint64, changes []Change) (u Update) {
+	r.reached(now, era)
 	for _, c := range changes {
 		if c.Server != nil {
-			u.put(r, *c.Server)
+			u.put(r, era, *c.Server)
 			continue
 		}
-		u.Changed = r.remove(now, c.ID) || u.Changed
+		u.Changed = r.remove(now, era, c.ID) || u.Changed
 	}
 	return u
 }
 
 // outdated reports whether a newer list entry of the server is known.
-func (r *Registry) outdated(s Server) bool {
-	known, exists := r.servers[s.ID]
-	// A late write of an earlier process says nothing about the present one.
-	return exists && s.Started.Before(known.Started)
+func (r *Registry) outdated(era uint64, s Server) bool {
+	if known, exists := r.servers[s.ID]; exists {
+		return s.olderThan(known)
+	}
+	left, departed := r.departed[s.ID]
+	if !departed {
+		return false
+	}
+	// Within one era, an entry that follows its removal is a new write. In a later one it
+	// may be of the copy.
+	return s.olderThan(left.Server) || era != left.era && !left.olderThan(s)
 }
 
 func (r *Registry) put(s Server) bool {
 	old, exists := r.servers[s.ID]
 	delete(r.lapsed, s.ID)
+	delete(r.departed, s.ID)
 	r.servers[s.ID] = s
 	return !exists || !old.sameAs(s)
 }
 
-func (r *Registry) remove(now time.Time, id ident.ServerID) bool {
+func (r *Registry) remove(now time.Time, era uint64, id ident.ServerID) bool {
 	if _, exists := r.servers[id]; !exists {
 		return false
 	}
@@ -148,9 +187,20 @@
 		}
 		return false
 	}
+	r.drop(now, era, id)
+	return true
+}
+
+// drop removes a server and remembers that it departed.
+func (r *Registry) drop(now time.Time, era uint64, id ident.ServerID) {
+	for other, d := range r.departed {
+		if now.Sub(d.at) > departureTTL {
+			delete(r.departed, other)
+		}
+	}
+	r.departed[id] = departure{Server: r.servers[id], era: era, at: now}
 	delete(r.servers, id)
 	delete(r.lapsed, id)
-	return true
 }
 
 // Tick removes the servers that did not return in time after an outage of the list.
@@ -161,8 +211,7 @@
 		if now.Before(deadline) {
 			continue
 		}
-		delete(r.lapsed, id)
-		delete(r.servers, id)
+		r.drop(now, r.era, id)
 		changed = true
 	}
 	return changed
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -23,8 +23,8 @@
 // Guards against work for a server whose entry was removed from a reachable list.
 func TestRemovedServerIsGoneAtOnce(t *testing.T) {
 	r := registry.New()
-	r.Replace(start, []registry.Server{server("a"), server("b")})
-	must.True(t, r.Apply(start, []registry.Change{gone("a")}).Changed)
+	r.Replace(start, 1, []registry.Server{server("a"), server("b")})
+	must.True(t, r.Apply(start, 1, []registry.Change{gone("a")}).Changed)
 	must.SliceLen(t, 1, r.Servers())
 }
 
@@ -32,12 +32,12 @@
 // of the list, and against keeping a server that did not register again.
 func TestLapsedServersMayReturn(t *testing.T) {
 	r := registry.New()
-	r.Replace(start, []registry.Server{server("a"), server("b")})
+	r.Replace(start, 1, []registry.Server{server("a"), server("b")})
 	r.SetUnreachable()
 	back := start.Add(5 * time.Second)
-	must.False(t, r.Replace(back, nil).Changed)
+	must.False(t, r.Replace(back, 1, nil).Changed)
 	must.SliceLen(t, 2, r.Servers())
-	r.Apply(back.Add(time.Second), []registry.Change{change(server("a"))})
+	r.Apply(back.Add(time.Second), 1, []registry.Change{change(server("a"))})
 	must.False(t, r.Tick(back.Add(2*time.Second)))
 	must.True(t, r.Tick(back.Add(2500*time.Millisecond)))
 	must.Eq(t, []registry.Server{server("a")}, r.Servers())
@@ -49,18 +49,45 @@
 	r := registry.New()
 	now := server("a")
 	now.Started, now.Leaving = start.Add(time.Minute), true
-	r.Replace(start, []registry.Server{now})
-	must.False(t, r.Apply(start, []registry.Change{change(server("a"))}).Changed)
+	r.Replace(start, 1, []registry.Server{now})
+	must.False(t, r.Apply(start, 1, []registry.Change{change(server("a"))}).Changed)
 	must.True(t, r.Servers()[0].Leaving)
 }
 
+// Guards against new work for a server that is leaving, or has left, because the list was
+// restored from a copy without its last writes.
+func TestEntriesOfACopyDoNotUndoNewerOnes(t *testing.T) {
+	ready, leaving, departed := server("a"), server("a"), server("b")
+	ready.Sequence, leaving.Sequence, leaving.Leaving = 4, 5, true
+	r := registry.New()
+	r.Replace(start, 1, []registry.Server{ready, departed})
+	r.Apply(start, 1, []registry.Change{change(leaving), gone("b")})
+	update := r.Replace(start.Add(time.Second), 2, []registry.Server{ready, departed})
+	must.False(t, update.Changed)
+	must.Eq(t, []registry.Server{ready, departed}, update.Outdated)
+	must.Eq(t, []registry.Server{leaving}, r.Servers())
+}
+
+// Guards against a server that stays unused because its list entry had been removed before
+// the list was restored, though it registers again or was restarted.
+func TestServerThatRegistersAgainAfterARestoreIsUsed(t *testing.T) {
+	again, restarted := server("a"), server("b")
+	again.Sequence, restarted.Started = 7, start.Add(time.Minute)
+	r := registry.New()
+	r.Replace(start, 1, []registry.Server{server("a"), server("b"), server("c")})
+	r.Apply(start, 1, []registry.Change{gone("a"), gone("b"), gone("c")})
+	r.Apply(start, 1, []registry.Change{change(server("c"))})
+	r.Replace(start.Add(time.Second), 2, []registry.Server{again, restarted, server("c")})
+	must.Eq(t, []registry.Server{again, restarted, server("c")}, r.Servers())
+}
+
 // Guards against recomputing the spread of work at every periodic write of a server.
 func TestWriteCounterAloneIsNoChange(t *testing.T) {
 	r := registry.New()
-	r.Replace(start, []registry.Server{server("a")})
+	r.Replace(start, 1, []registry.Server{server("a")})
 	next := server("a")
 	next.Sequence = 7
-	must.False(t, r.Apply(start, []registry.Change{change(next)}).Changed)
+	must.False(t, r.Apply(start, 1, []registry.Change{change(next)}).Changed)
 	next.Leaving = true
-	must.True(t, r.Apply(start, []registry.Change{change(next)}).Changed)
+	must.True(t, r.Apply(start, 1, []registry.Change{change(next)}).Changed)
 }
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -42,12 +42,9 @@
 type controlMessage interface{ isControlMessage() }
 
 type (
-	routesRead struct{ items []platform.Item }
+	routesRead storeRead
 	// serversRead holds the complete list of backend servers, or changes to it.
-	serversRead struct {
-		items    []platform.Item
-		complete bool
-	}
+	serversRead        storeRead
 	serversUnreachable struct{}
 	linkEvent          struct{ event link.Event }
 	stopProcess        struct{}
@@ -214,9 +211,9 @@
 				list = append(list, *one.Server)
 			}
 		}
-		update = c.registry.Replace(now, list)
+		update = c.registry.Replace(now, m.era, list)
 	} else {
-		update = c.registry.Apply(now, changes)
+		update = c.registry.Apply(now, m.era, changes)
 	}
 	for _, s := range update.Outdated {
 		c.logger.Info().Str("server", string(s.ID)).Time("started", s.Started).Int64("sequence", s.Sequence).Bool("leaving", s.Leaving).Msg("outdated list entry of a backend server ignored")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -257,16 +257,12 @@
 	store := &platform.Store{Address: p.options.Settings.Store, Client: upstream.NewHTTPClient()}
 	routes := &watcher{
 		store: store, prefix: platform.ConfigurationKey, logger: p.options.Logger, random: p.random(3), metrics: p.metrics,
-		deliver: func(ctx context.Context, items []platform.Item, _ bool) {
-			p.control.mailbox.Send(ctx, routesRead{items: items})
-		},
+		deliver:     func(ctx context.Context, r storeRead) { p.control.mailbox.Send(ctx, routesRead(r)) },
 		unreachable: func(context.Context) {},
 	}
 	servers := &watcher{
 		store: store, prefix: platform.ServersPrefix, pollInterval: serversPollInterval, logger: p.options.Logger, random: p.random(4), metrics: p.metrics,
-		deliver: func(ctx context.Context, items []platform.Item, complete bool) {
-			p.control.mailbox.Send(ctx, serversRead{items: items, complete: complete})
-		},
+		deliver:     func(ctx context.Context, r storeRead) { p.control.mailbox.Send(ctx, serversRead(r)) },
 		unreachable: func(ctx context.Context) { p.control.mailbox.Send(ctx, serversUnreachable{}) },
 	}
 	p.group.Go("watch of routes", routes.Run)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -31,6 +31,15 @@
 	serversPollInterval = 900 * time.Millisecond
 )
 
+// storeRead holds items of one key prefix of the store.
+type storeRead struct {
+	items []platform.Item
+	// era is the era of the store, as in platform.Page.
+	era uint64
+	// complete reports whether the items are all of the prefix, otherwise they are changes.
+	complete bool
+}
+
 // watcher is the task that watches one key prefix of the store.
 type watcher struct {
 	store        *platform.Store
@@ -39,9 +48,8 @@
 	logger       zerolog.Logger
 	random       *rand.Rand
 	lifecycle    *chart.Lifecycle[*watcher]
-	// deliver is called with the items read. If complete is set, they are all items of the
-	// prefix, otherwise changes.
-	deliver func(ctx context.Context, items []platform.Item, complete bool)
+	// deliver is called with the items read.
+	deliver func(ctx context.Context, r storeRead)
 	// unreachable is called when a call to the store fails.
 	unreachable func(ctx context.Context)
 	metrics     *metrics
@@ -121,7 +129,7 @@
 	w.revision = first
 	w.lifecycle.Fire(time.Now(), "read")
 	w.metrics.storeReads.WithLabelValues("read").Inc()
-	w.deliver(ctx, all, true)
+	w.deliver(ctx, storeRead{items: all, era: w.era, complete: true})
 }
 
 func (w *watcher) watch(ctx context.Context) {
@@ -145,7 +153,7 @@
 		w.lifecycle.Fire(time.Now(), "changed")
 		w.metrics.storeReads.WithLabelValues("watch").Inc()
 		w.revision = max(w.revision, page.Revision)
-		w.deliver(ctx, page.Items, false)
+		w.deliver(ctx, storeRead{items: page.Items, era: w.era})
 	}
 }
 
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -30,9 +30,9 @@
 	w := &watcher{
 		store: &platform.Store{Address: store.Address(), Client: http.DefaultClient}, prefix: "servers/",
 		random: rand.New(rand.NewPCG(1, 1)), metrics: newMetrics(), unreachable: func(context.Context) {},
-		deliver: func(_ context.Context, items []platform.Item, _ bool) {
+		deliver: func(_ context.Context, r storeRead) {
 			var keys []string
-			for _, i := range items {
+			for _, i := range r.items {
 				keys = append(keys, i.Key)
 			}
 			delivered <- keys
