decide/registry: keep servers that a restored list lacks until they can register again

Callers lost the requests in flight on idle connections that were closed, and the capacity of sound servers: a server was held back after its removal only around an outage that a read had noticed. A store that is away for less than the time between two reads, and comes back without a server that registered lately, had that server removed at once. Now a read in another era counts as the end of an outage, too.

TestServerMissingFromACopyMayRegisterAgain failed before this change.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -1,8 +1,8 @@
 // Package registry keeps the set of backend servers from the watched instance
-// list. If the list was unreachable, servers whose list entries lapsed meanwhile
-// are kept until they have had time to register again. List entries are ordered by
-// the start of the server and its count of writes, not by the list's revisions: a
-// list that is restored from a copy gives revisions out again.
+// list. If the list was unreachable or restored from a copy, servers whose list
+// entries are missing since are kept until they have had time to register again. List
+// entries are ordered by the start of the server and its count of writes, not by the
+// list's revisions: a list that is restored from a copy gives revisions out again.
 package registry
 
 import (
@@ -13,9 +13,9 @@
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 )
 
-// returnGrace is how long after an outage of the instance list a removed server is
-// kept. Entries that lapsed during the outage are written again within about two
-// seconds of its end.
+// returnGrace is how long after an outage or a restore of the instance list a removed
+// server is kept. Entries that lapsed during the outage, or that the copy lacks, are
+// written again within about two seconds of its end.
 const returnGrace = 2200 * time.Millisecond
 
 // departureTTL is how long a removed server is remembered. Copies from which the list is
@@ -65,13 +65,13 @@
 // task and not safe for concurrent use.
 type Registry struct {
 	servers map[ident.ServerID]Server
-	// lapsed are the servers whose list entries were removed around an outage of the
-	// list, with the deadline for their return.
+	// lapsed are the servers whose list entries were removed around an outage or a restore
+	// of the list, with the deadline for their return.
 	lapsed map[ident.ServerID]time.Time
 	// departed are the servers that were removed within departureTTL.
 	departed map[ident.ServerID]departure
-	// restoredAt is the end of the last outage of the list.
-	restoredAt time.Time
+	// backAt is when the list was first read after its last outage or restore.
+	backAt time.Time
 	// era is the era of the last read.
 	era         uint64
 	unreachable bool
@@ -102,8 +102,8 @@
 
 // reached records a successful read of the list in an era.
 func (r *Registry) reached(now time.Time, era uint64) {
-	if r.unreachable {
-		r.restoredAt = now
+	if r.unreachable || r.synced && era != r.era {
+		r.backAt = now
 	}
 	r.era, r.unreachable, r.synced = era, false, true
 }
@@ -181,9 +181,9 @@
 	if _, exists := r.servers[id]; !exists {
 		return false
 	}
-	if !r.restoredAt.IsZero() && now.Sub(r.restoredAt) < returnGrace {
+	if !r.backAt.IsZero() && now.Sub(r.backAt) < returnGrace {
 		if _, lapsed := r.lapsed[id]; !lapsed {
-			r.lapsed[id] = r.restoredAt.Add(returnGrace)
+			r.lapsed[id] = r.backAt.Add(returnGrace)
 		}
 		return false
 	}
@@ -203,7 +203,8 @@
 	delete(r.lapsed, id)
 }
 
-// Tick removes the servers that did not return in time after an outage of the list.
+// Tick removes the servers that did not return in time after an outage or a restore of the
+// list.
 // It reports whether there were any.
 func (r *Registry) Tick(now time.Time) bool {
 	changed := false
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -68,6 +68,20 @@
 	must.Eq(t, []registry.Server{leaving}, r.Servers())
 }
 
+// Guards against dropping a server, and its connections, that registered after the copy was
+// made from which the list is restored, when no read noticed an outage.
+func TestServerMissingFromACopyMayRegisterAgain(t *testing.T) {
+	r := registry.New()
+	r.Replace(start, 1, []registry.Server{server("a"), server("b")})
+	back := start.Add(5 * time.Second)
+	must.False(t, r.Replace(back, 2, nil).Changed)
+	must.SliceLen(t, 2, r.Servers())
+	r.Apply(back.Add(time.Second), 2, []registry.Change{change(server("a"))})
+	must.False(t, r.Tick(back.Add(2*time.Second)))
+	must.True(t, r.Tick(back.Add(2500*time.Millisecond)))
+	must.Eq(t, []registry.Server{server("a")}, r.Servers())
+}
+
 // Guards against a server that stays unused because its list entry had been removed before
 // the list was restored, though it registers again or was restarted.
 func TestServerThatRegistersAgainAfterARestoreIsUsed(t *testing.T) {
