decide/registry: keep servers that may return while the list is lost again

The time in which a server whose entry was missing after an outage had to return ran on when the list was lost a second time. The server was dropped although nobody could see whether it had registered again, and callers were served by fewer servers than there were. The time now counts from the last return of the list, and not while it is away.

TestLapsedServersAreKeptWhileTheListIsLostAgain failed before this change.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -66,8 +66,8 @@
 type Registry struct {
 	servers map[ident.ServerID]Server
 	// lapsed are the servers whose list entries were removed around an outage or a restore
-	// of the list, with the deadline for their return.
-	lapsed map[ident.ServerID]time.Time
+	// of the list. They are dropped unless they return within returnGrace after backAt.
+	lapsed map[ident.ServerID]bool
 	// departed are the servers that were removed within departureTTL.
 	departed map[ident.ServerID]departure
 	// backAt is when the list was first read after its last outage or restore.
@@ -89,7 +89,7 @@
 // New returns an empty registry.
 func New() *Registry {
 	return &Registry{
-		servers: make(map[ident.ServerID]Server), lapsed: make(map[ident.ServerID]time.Time),
+		servers: make(map[ident.ServerID]Server), lapsed: make(map[ident.ServerID]bool),
 		departed: make(map[ident.ServerID]departure),
 	}
 }
@@ -182,9 +182,7 @@
 		return false
 	}
 	if !r.backAt.IsZero() && now.Sub(r.backAt) < returnGrace {
-		if _, lapsed := r.lapsed[id]; !lapsed {
-			r.lapsed[id] = r.backAt.Add(returnGrace)
-		}
+		r.lapsed[id] = true
 		return false
 	}
 	r.drop(now, era, id)
@@ -207,15 +205,14 @@
 // list.
 // It reports whether there were any.
 func (r *Registry) Tick(now time.Time) bool {
-	changed := false
-	for id, deadline := range r.lapsed {
-		if now.Before(deadline) {
-			continue
-		}
+	// While the list cannot be reached, nobody sees who has returned.
+	if r.unreachable || len(r.lapsed) == 0 || now.Sub(r.backAt) < returnGrace {
+		return false
+	}
+	for id := range r.lapsed {
 		r.drop(now, r.era, id)
-		changed = true
 	}
-	return changed
+	return true
 }
 
 // Servers returns all servers, sorted by ID.
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -82,6 +82,21 @@
 	must.Eq(t, []registry.Server{server("a")}, r.Servers())
 }
 
+// Guards against dropping servers that may have registered again, since the list was lost a
+// second time before they could be seen.
+func TestLapsedServersAreKeptWhileTheListIsLostAgain(t *testing.T) {
+	r := registry.New()
+	r.Replace(start, 1, []registry.Server{server("a")})
+	must.False(t, r.Replace(start.Add(time.Second), 2, nil).Changed)
+	r.SetUnreachable()
+	must.False(t, r.Tick(start.Add(5*time.Second)))
+	must.False(t, r.Replace(start.Add(6*time.Second), 2, nil).Changed)
+	must.False(t, r.Tick(start.Add(7*time.Second)))
+	must.False(t, r.Replace(start.Add(8*time.Second), 3, nil).Changed)
+	must.False(t, r.Tick(start.Add(9*time.Second)))
+	must.True(t, r.Tick(start.Add(10500*time.Millisecond)))
+}
+
 // Guards against a server that stays unused because its list entry had been removed before
 // the list was restored, though it registers again or was restarted.
 func TestServerThatRegistersAgainAfterARestoreIsUsed(t *testing.T) {
