gateway, decide/registry: an entry that starts hears what the others know before it serves

Callers could be served, after a restart of an entry, on routes and keys that had been withdrawn, and by a server that had left: a process that starts from a store restored from a copy has no memory of what was confirmed, and was ready as soon as it had read the copy. The links carried routes, half a second later, but no departures of servers. Class of fault: state that a process loses at its end and takes from a source that may be older.

An entry tells another, when their link comes up, which servers are leaving or have left, and the version of its routes. One that starts uses neither routes nor servers before an entry that serves requests has told it, and its own routes are as new; it waits at most 1 s (chart catch-up). Until then it answers 503, not run, as it did until it had read the store.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -18,10 +18,6 @@
 // written again within about two seconds of its end.
 const returnGrace = 2200 * time.Millisecond
 
-// departureTTL is how long a removed server is remembered. Copies from which the list is
-// restored are some seconds old.
-const departureTTL = 10 * time.Minute
-
 // Server is the list entry of a backend server.
 type Server struct {
 	ID      ident.ServerID
@@ -68,8 +64,8 @@
 	// lapsed are the servers whose list entries were removed around an outage or a restore
 	// of the list. They are dropped unless they return within returnGrace after backAt.
 	lapsed map[ident.ServerID]bool
-	// departed are the servers that were removed within departureTTL.
-	departed map[ident.ServerID]departure
+	// departures are the servers that are leaving, and those that were removed lately.
+	departures map[ident.ServerID]departure
 	// backAt is when the list was first read after its last outage or restore.
 	backAt time.Time
 	// era is the era of the last read.
@@ -78,19 +74,11 @@
 	synced      bool
 }
 
-// departure is the last list entry of a server that was removed.
-type departure struct {
-	Server
-	// era is the era of the list in which the server was removed at the given time.
-	era uint64
-	at  time.Time
-}
-
 // New returns an empty registry.
 func New() *Registry {
 	return &Registry{
 		servers: make(map[ident.ServerID]Server), lapsed: make(map[ident.ServerID]bool),
-		departed: make(map[ident.ServerID]departure),
+		departures: make(map[ident.ServerID]departure),
 	}
 }
 
@@ -116,13 +104,13 @@
 	Outdated []Server
 }
 
-// put applies one list entry of an era.
-func (u *Update) put(r *Registry, era uint64, s Server) {
-	if r.outdated(era, s) {
+// put applies one list entry.
+func (u *Update) put(now time.Time, r *Registry, s Server) {
+	if r.outdated(s) {
 		u.Outdated = append(u.Outdated, s)
 		return
 	}
-	u.Changed = r.put(s) || u.Changed
+	u.Changed = r.put(now, s) || u.Changed
 }
 
 // Replace applies a full read of the list. The era counts how often the list was restored
@@ -132,11 +120,11 @@
 	listed := make(map[ident.ServerID]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
-		u.put(r, era, s)
+		u.put(now, r, s)
 	}
 	for id := range r.servers {
 		if !listed[id] {
-			u.Changed = r.remove(now, era, id) || u.Changed
+			u.Changed = r.remove(now, id) || u.Changed
 		}
 	}
 	return u
@@ -147,37 +135,40 @@
 	r.reached(now, era)
 	for _, c := range changes {
 		if c.Server != nil {
-			u.put(r, era, *c.Server)
+			u.put(now, r, *c.Server)
 			continue
 		}
-		u.Changed = r.remove(now, era, c.ID) || u.Changed
+		u.Changed = r.remove(now, c.ID) || u.Changed
 	}
 	return u
 }
 
-// outdated reports whether a newer list entry of the server is known.
-func (r *Registry) outdated(era uint64, s Server) bool {
+// outdated reports whether a newer list entry of the server, or its removal, is known.
+func (r *Registry) outdated(s Server) bool {
 	if known, exists := r.servers[s.ID]; exists {
 		return s.olderThan(known)
 	}
-	left, departed := r.departed[s.ID]
-	if !departed {
-		return false
-	}
-	// Within one era, an entry that follows its removal is a new write. In a later one it
-	// may be of the copy.
-	return s.olderThan(left.Server) || era != left.era && !left.olderThan(s)
+	d, departed := r.departures[s.ID]
+	return departed && d.Removed && r.covers(d.Departure, s)
 }
 
-func (r *Registry) put(s Server) bool {
+func (r *Registry) put(now time.Time, s Server) bool {
 	old, exists := r.servers[s.ID]
 	delete(r.lapsed, s.ID)
-	delete(r.departed, s.ID)
+	d, departed := r.departures[s.ID]
+	switch {
+	case departed && !d.Removed && r.covers(d.Departure, s):
+		s.Leaving = true
+	case s.Leaving && !(exists && old.Leaving):
+		r.note(now, Departure{ID: s.ID, Started: s.Started, Sequence: s.Sequence, Era: r.era})
+	case !s.Leaving:
+		delete(r.departures, s.ID)
+	}
 	r.servers[s.ID] = s
 	return !exists || !old.sameAs(s)
 }
 
-func (r *Registry) remove(now time.Time, era uint64, id ident.ServerID) bool {
+func (r *Registry) remove(now time.Time, id ident.ServerID) bool {
 	if _, exists := r.servers[id]; !exists {
 		return false
 	}
@@ -185,32 +176,27 @@
 		r.lapsed[id] = true
 		return false
 	}
-	r.drop(now, era, id)
+	r.drop(now, id)
 	return true
 }
 
 // drop removes a server and remembers that it departed.
-func (r *Registry) drop(now time.Time, era uint64, id ident.ServerID) {
-	for other, d := range r.departed {
-		if now.Sub(d.at) > departureTTL {
-			delete(r.departed, other)
-		}
-	}
-	r.departed[id] = departure{Server: r.servers[id], era: era, at: now}
+func (r *Registry) drop(now time.Time, id ident.ServerID) {
+	s := r.servers[id]
+	r.note(now, Departure{ID: id, Started: s.Started, Sequence: s.Sequence, Era: r.era, Removed: true})
 	delete(r.servers, id)
 	delete(r.lapsed, id)
 }
 
 // Tick removes the servers that did not return in time after an outage or a restore of the
-// list.
-// It reports whether there were any.
+// list. It reports whether there were any.
 func (r *Registry) Tick(now time.Time) bool {
 	// While the list cannot be reached, nobody sees who has returned.
 	if r.unreachable || len(r.lapsed) == 0 || now.Sub(r.backAt) < returnGrace {
 		return false
 	}
 	for id := range r.lapsed {
-		r.drop(now, r.era, id)
+		r.drop(now, id)
 	}
 	return true
 }
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -110,6 +110,47 @@
 	must.Eq(t, []registry.Server{again, restarted, server("c")}, r.Servers())
 }
 
+// Guards against an entry that starts from a copy of the list and sends work to servers that
+// other entries know to be leaving or gone, whether it hears of them before or after it
+// reads the list.
+func TestDeparturesKnownToOtherEntriesBindOneThatStarts(t *testing.T) {
+	leaving := server("a")
+	leaving.Sequence, leaving.Leaving = 5, true
+	other := registry.New()
+	other.Replace(start, 1, []registry.Server{server("a"), server("b"), server("c")})
+	other.Apply(start, 1, []registry.Change{change(leaving), gone("b")})
+	departures := other.Departures(start)
+	must.SliceLen(t, 2, departures)
+	copied := []registry.Server{server("a"), server("b"), server("c")}
+	want := []registry.Server{server("a"), server("c")}
+	want[0].Leaving = true
+
+	before := registry.New()
+	must.False(t, before.Learn(start, departures))
+	before.Replace(start, 2, copied)
+	must.Eq(t, want, before.Servers())
+
+	after := registry.New()
+	after.Replace(start, 2, copied)
+	must.True(t, after.Learn(start, departures))
+	must.Eq(t, want, after.Servers())
+}
+
+// Guards against dropping a server because another entry, whose news are old, saw it removed
+// before it registered again.
+func TestOldDeparturesOfOtherEntriesAreIgnored(t *testing.T) {
+	again, restarted := server("a"), server("b")
+	again.Sequence, restarted.Started = 7, start.Add(time.Minute)
+	r := registry.New()
+	r.Replace(start, 2, []registry.Server{again, restarted, server("c")})
+	must.False(t, r.Learn(start, []registry.Departure{
+		{ID: "a", Started: start, Sequence: 6, Era: 1, Removed: true},
+		{ID: "b", Started: start, Sequence: 6, Era: 1},
+		{ID: "c", Started: start, Sequence: 6, Era: 2, Removed: true},
+	}))
+	must.Eq(t, []registry.Server{again, restarted, server("c")}, r.Servers())
+}
+
 // Guards against recomputing the spread of work at every periodic write of a server.
 func TestWriteCounterAloneIsNoChange(t *testing.T) {
 	r := registry.New()
--- /dev/null
+++ b/internal/gateway/catchup.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/anvilpoint/anvilpoint/chart"
+	"github.com/anvilpoint/anvilpoint/internal/charts"
+	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
+	"github.com/anvilpoint/anvilpoint/internal/link"
+	"github.com/anvilpoint/anvilpoint/internal/message"
+)
+
+// departuresPerMessage bounds the size of a message with departures.
+const departuresPerMessage = 256
+
+func (c *control) initCatchUp(now time.Time) error {
+	machine, err := chart.Bind(charts.Must("catch-up"), chart.Binding[*control]{
+		Observe: func(c *control, t chart.Transition) {
+			c.logger.Info().Str("from", t.From).Str("to", t.To).Str("event", t.Event).Msg("state of the catch-up with other entries changed")
+		},
+	})
+	if err != nil {
+		return err
+	}
+	c.catchUp = machine.New(now, c)
+	return nil
+}
+
+// advanceCatchUp runs a step of the catch-up. If it ends with the step, what was read
+// meanwhile is put in force.
+func (c *control) advanceCatchUp(ctx context.Context, now time.Time, step func()) {
+	if c.catchUp.Done() {
+		return
+	}
+	if step(); !c.catchUp.Done() {
+		return
+	}
+	c.publishRoutes(ctx)
+	if c.registry.Synced() {
+		c.publishServers(ctx)
+	}
+	c.checkConfigured(now)
+}
+
+// sendState tells another entry, which may have started from a copy of the store, what the
+// store may have lost.
+func (c *control) sendState(now time.Time, to *link.Link) {
+	departures := c.registry.Departures(now)
+	for len(departures) > 0 {
+		n := min(len(departures), departuresPerMessage)
+		to.Send(encodeDepartures(departures[:n]))
+		departures = departures[n:]
+	}
+	to.Send(&message.StateSummary{Routes: c.version(), Complete: c.complete()})
+}
+
+// handleSummary handles the end of what another entry knows. An entry that does not serve
+// requests itself may know no more than the store.
+func (c *control) handleSummary(ctx context.Context, now time.Time, from *link.Link, m *message.StateSummary) {
+	if !m.Complete || c.catchUp.Done() {
+		return
+	}
+	c.routesToCatchUp = max(c.routesToCatchUp, m.Routes)
+	if m.Routes > c.version() {
+		c.catchUp.Fire(now, "behind")
+		c.pullRoutes(now, from, m.Routes)
+	}
+	c.checkCaughtUp(ctx, now)
+}
+
+// checkCaughtUp ends the catch-up once the routes are as new as those of the other entry.
+func (c *control) checkCaughtUp(ctx context.Context, now time.Time) {
+	if c.routesToCatchUp == 0 || c.version() < c.routesToCatchUp {
+		return
+	}
+	c.advanceCatchUp(ctx, now, func() { c.catchUp.Fire(now, "told") })
+}
+
+// learnDepartures applies the departures that another entry knows.
+func (c *control) learnDepartures(ctx context.Context, now time.Time, m *message.ServerDepartures) {
+	if c.registry.Learn(now, decodeDepartures(m)) {
+		c.publishServers(ctx)
+	}
+}
+
+func encodeDepartures(list []registry.Departure) *message.ServerDepartures {
+	m := new(message.ServerDepartures)
+	for _, d := range list {
+		one := message.ServerDeparture{Server: d.ID, Sequence: d.Sequence, Era: d.Era, Removed: d.Removed}
+		if !d.Started.IsZero() {
+			one.StartedMS = d.Started.UnixMilli()
+		}
+		m.Departures = append(m.Departures, one)
+	}
+	return m
+}
+
+func decodeDepartures(m *message.ServerDepartures) []registry.Departure {
+	list := make([]registry.Departure, 0, len(m.Departures))
+	for _, one := range m.Departures {
+		d := registry.Departure{ID: one.Server, Sequence: one.Sequence, Era: one.Era, Removed: one.Removed}
+		if one.StartedMS != 0 {
+			d.Started = time.UnixMilli(one.StartedMS)
+		}
+		list = append(list, d)
+	}
+	return list
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -67,13 +67,17 @@
 type control struct {
 	mailbox   *task.Mailbox[controlMessage]
 	lifecycle *chart.Lifecycle[*control]
-	grace     time.Duration
+	// catchUp ends before the first routes and servers are used.
+	catchUp *chart.Lifecycle[*control]
+	grace   time.Duration
 	// address is the host and port on which this process accepts links.
 	address  string
 	routes   *record.Routes
 	document []byte
-	registry *registry.Registry
-	links    map[*link.Link]struct{}
+	// routesSource names the store or the entry from which the routes are.
+	routesSource string
+	registry     *registry.Registry
+	links        map[*link.Link]struct{}
 	// dialers holds the cancel function of each running dialer, by address.
 	dialers map[string]context.CancelFunc
 	// seeds are the addresses of entries from the settings, entryAddresses those of all
@@ -83,6 +87,9 @@
 	// slowServers are the slow servers that a group reported at slowServersAt.
 	slowServers   []message.ServerSlowdown
 	slowServersAt time.Time
+	// routesToCatchUp is the version of the routes that the catch-up waits for, zero while
+	// no other entry has told it.
+	routesToCatchUp ident.Revision
 	// behindSince is when another entry was first seen to have newer routes, zero if none
 	// has. lastPull is when routes were last requested from another entry.
 	behindSince time.Time
@@ -93,6 +100,7 @@
 	// notices are messages of the dispatch task to all other entries.
 	notices *task.Mailbox[message.Message]
 	pool    *upstream.Pool
+	metrics *metrics
 	logger  zerolog.Logger
 	// drain starts to shut the client listener down.
 	drain func()
@@ -116,7 +124,7 @@
 		return nil, err
 	}
 	c.lifecycle = machine.New(now, c)
-	return c, nil
+	return c, c.initCatchUp(now)
 }
 
 // run is the main loop of the task. It returns once the process has stopped.
@@ -180,20 +188,31 @@
 		}
 		return
 	}
-	c.routes, c.document, c.behindSince = routes, document, time.Time{}
-	c.logger.Info().Uint64("version", uint64(routes.Version())).Str("source", from).Msg("routes in force")
-	c.dispatch.Send(ctx, setRoutes{routes: routes})
+	c.routes, c.document, c.routesSource, c.behindSince = routes, document, from, time.Time{}
+	c.publishRoutes(ctx)
 	c.checkConfigured(now)
 }
 
+// publishRoutes puts the routes in force.
+func (c *control) publishRoutes(ctx context.Context) {
+	if c.routes == nil || !c.catchUp.Done() {
+		return
+	}
+	c.logger.Info().Uint64("version", uint64(c.routes.Version())).Str("source", c.routesSource).Msg("routes in force")
+	c.dispatch.Send(ctx, setRoutes{routes: c.routes})
+}
+
 // checkConfigured makes the process ready once it has routes and the list of backend
-// servers.
+// servers, and knows what the other entries know.
 func (c *control) checkConfigured(now time.Time) {
-	if c.routes != nil && c.registry.Synced() {
+	if c.complete() {
 		c.lifecycle.Fire(now, "configured")
 	}
 }
 
+// complete reports whether requests can be served.
+func (c *control) complete() bool { return c.catchUp.Done() && c.routes != nil && c.registry.Synced() }
+
 func (c *control) updateServers(ctx context.Context, now time.Time, m serversRead) {
 	var changes []registry.Change
 	for _, i := range m.items {
@@ -240,6 +259,9 @@
 }
 
 func (c *control) publishServers(ctx context.Context) {
+	if !c.catchUp.Done() {
+		return
+	}
 	servers := c.registry.Servers()
 	leaving := 0
 	alive := make(map[ident.ServerID]bool, len(servers))
@@ -250,12 +272,15 @@
 		}
 	}
 	c.logger.Info().Int("servers", len(servers)).Int("leaving", leaving).Msg("backend servers changed")
+	c.metrics.servers.WithLabelValues("ready").Set(float64(len(servers) - leaving))
+	c.metrics.servers.WithLabelValues("leaving").Set(float64(leaving))
 	c.dispatch.Send(ctx, setServers{servers: servers})
 	c.pool.Retain(ctx, alive)
 }
 
 func (c *control) tick(ctx context.Context, now time.Time) {
 	c.lifecycle.Tick(now)
+	c.advanceCatchUp(ctx, now, func() { c.catchUp.Tick(now) })
 	if c.registry.Tick(now) {
 		c.publishServers(ctx)
 	}
@@ -300,6 +325,7 @@
 		c.links[e.Link] = struct{}{}
 		e.Link.Send(&message.ProcessAddresses{Own: c.address, Addresses: c.entryAddresses})
 		c.sendCrashes(ctx, e.Link)
+		c.sendState(now, e.Link)
 	case link.Down:
 		delete(c.links, e.Link)
 		c.logger.Info().Str("peer", string(peer)).AnErr("cause", e.Err).Msg("link down")
@@ -322,9 +348,11 @@
 	switch m := m.(type) {
 	case *message.EntryReport:
 		c.dispatch.Send(ctx, peerReport{from: from.Peer().Instance, report: m})
-		if c.shouldPull(now, m.Routes) {
-			from.Send(&message.RoutesPull{After: c.version()})
-		}
+		c.pullRoutes(now, from, m.Routes)
+	case *message.ServerDepartures:
+		c.learnDepartures(ctx, now, m)
+	case *message.StateSummary:
+		c.handleSummary(ctx, now, from, m)
 	case *message.AnnouncedRates:
 		c.dispatch.Send(ctx, peerRates{from: from.Peer().Instance, rates: m.Rates})
 	case *message.SlowServers:
@@ -342,6 +370,14 @@
 		if m.Version > c.version() {
 			c.adopt(ctx, now, m.Document, string(from.Peer().Instance))
 		}
+		c.checkCaughtUp(ctx, now)
+	}
+}
+
+// pullRoutes asks another entry for its routes if they should be pulled.
+func (c *control) pullRoutes(now time.Time, from *link.Link, version ident.Revision) {
+	if c.shouldPull(now, version) {
+		from.Send(&message.RoutesPull{After: c.version()})
 	}
 }
 
@@ -351,7 +387,7 @@
 	switch {
 	case version <= c.version():
 		return false
-	case c.routes == nil:
+	case c.routes == nil || c.catchUp.In("pulling"):
 	case c.behindSince.IsZero():
 		c.behindSince = now
 		return false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -165,7 +165,7 @@
 	}
 	c.address = s.LinkListen
 	c.dispatch, c.notices, c.pool, c.logger = p.dispatch.mailbox, p.dispatch.notices, p.pool, p.options.Logger
-	c.drain = p.drain
+	c.metrics, c.drain = p.metrics, p.drain
 	c.dial = func(ctx context.Context, address string) {
 		dialer := &link.Dialer{Config: p.links, Address: address, Network: p.options.Network, Random: p.random(2)}
 		p.group.Go("link to "+address, func(context.Context) error { return dialer.Run(ctx) })
@@ -200,7 +200,8 @@
 	case message.KindHeartbeat:
 		return true
 	case message.KindEntryReport, message.KindProcessAddresses, message.KindRoutesPull, message.KindRoutesPush,
-		message.KindCrashReport, message.KindPartsProven, message.KindPartTrial, message.KindAnnouncedRates:
+		message.KindCrashReport, message.KindPartsProven, message.KindPartTrial, message.KindAnnouncedRates,
+		message.KindServerDepartures, message.KindStateSummary:
 		return role == message.RoleEntry
 	case message.KindSlowServers:
 		return role == message.RoleSidecar
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,8 @@
 	crashes     prometheus.Counter
 	quarantined prometheus.Gauge
 	rateLimited prometheus.Gauge
+	// servers counts the backend servers by state: ready or leaving.
+	servers *prometheus.GaugeVec
 	// storeRestores counts the restores of the store, once for each watch.
 	storeRestores prometheus.Counter
 }
@@ -46,9 +48,11 @@
 			Name: "anvilpoint_quarantined_prompt_parts", Help: "Prompt parts that are kept from the model engines."}),
 		rateLimited: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "anvilpoint_rate_limited_servers", Help: "Backend servers that announce how many requests a second they take."}),
+		servers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "anvilpoint_backend_servers", Help: "Backend servers that are known, by state."}, []string{"state"}),
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "anvilpoint_store_restores_total", Help: "Restores of the platform's store from a copy, as each watch noticed them."}),
 	}
-	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined, m.rateLimited, m.storeRestores)
+	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined, m.rateLimited, m.servers, m.storeRestores)
 	return m
 }
--- a/internal/message/hosted.go
+++ b/internal/message/hosted.go
@@ -65,6 +65,37 @@
 	FirstHand bool
 }
 
+// ServerDepartures tells another entry of backend servers that are leaving or have left. The
+// store may have lost these changes.
+type ServerDepartures struct {
+	_          struct{} `cbor:",toarray"`
+	Departures []ServerDeparture
+}
+
+// ServerDeparture says that a backend server is leaving or was removed from the list.
+type ServerDeparture struct {
+	_      struct{} `cbor:",toarray"`
+	Server ident.ServerID
+	// StartedMS is the start time of the server, in milliseconds since 1970, or zero if it
+	// is unknown.
+	StartedMS int64
+	// Sequence counts the writes of the server's list entry up to the departure.
+	Sequence int64
+	// Era is the era of the list in which the departure became known.
+	Era     uint64
+	Removed bool
+}
+
+// StateSummary ends what an entry tells another one when their link comes up.
+type StateSummary struct {
+	_ struct{} `cbor:",toarray"`
+	// Routes is the version of the routes in force at the sender, zero without any.
+	Routes ident.Revision
+	// Complete reports whether the sender serves requests, and thus knows what confirmed
+	// changes there are.
+	Complete bool
+}
+
 // ServerSlowdown is the time that a backend server needs for some work, divided by the
 // time of a healthy server for the same work. A slow server's slowdown is above 1.
 type ServerSlowdown struct {
--- a/internal/message/kinds.go
+++ b/internal/message/kinds.go
@@ -38,6 +38,8 @@
 func (*PartsProven) kind() Kind      { return KindPartsProven }
 func (*PartTrial) kind() Kind        { return KindPartTrial }
 func (*AnnouncedRates) kind() Kind   { return KindAnnouncedRates }
+func (*ServerDepartures) kind() Kind { return KindServerDepartures }
+func (*StateSummary) kind() Kind     { return KindStateSummary }
 
 // KindOf returns the message's frame type on the wire.
 func KindOf(m Message) Kind { return m.kind() }
@@ -121,6 +123,10 @@
 		return new(PartTrial)
 	case KindAnnouncedRates:
 		return new(AnnouncedRates)
+	case KindServerDepartures:
+		return new(ServerDepartures)
+	case KindStateSummary:
+		return new(StateSummary)
 	default:
 		return nil
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -75,6 +75,8 @@
 	KindPartsProven
 	KindPartTrial
 	KindAnnouncedRates
+	KindServerDepartures
+	KindStateSummary
 )
 
 // Digest identifies one accepted configuration record by its revision and the hash
