platform, gateway, decide/registry: a server that says it is leaving gets no new work

Callers' requests went to a server until the store said that it was leaving; an entry that cannot reach the store never learned it, and some servers are only removed from the list. The header in which such a server says so was not decoded.

An answer with it now marks the process of the server (its id and start time) in the registry, the one place that decides which servers are used; no list entry undoes that, and a restarted server counts as a new one. The first entry that hears it tells the others. A misdirected answer says nothing of the server that was asked.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -67,6 +67,8 @@
 	Misdirected bool
 	// Closing reports whether the server closes the connection after this answer.
 	Closing bool
+	// Leaving reports whether the server says that it is leaving.
+	Leaving bool
 	// BlamedAddress is the host and port of the server whose failure kept this one from
 	// running the request: the engines of a group wait for each other. It may be empty.
 	BlamedAddress string
--- a/internal/decide/registry/departures.go
+++ b/internal/decide/registry/departures.go
@@ -24,6 +24,9 @@
 	Era uint64
 	// Removed reports whether the list entry was removed; otherwise the server is leaving.
 	Removed bool
+	// Announced reports whether the server itself said in an answer that it is leaving. It
+	// then is, whatever the list says, until it is started again.
+	Announced bool
 }
 
 // departure is a departure that became known at a time.
@@ -47,6 +50,8 @@
 	switch {
 	case !s.Started.Equal(d.Started):
 		return s.Started.Before(d.Started)
+	case d.Announced:
+		return true
 	case s.Started.IsZero():
 		return false
 	case d.Era == r.era:
@@ -80,36 +85,51 @@
 }
 
 func (r *Registry) learn(now time.Time, d Departure) bool {
-	if old, known := r.departures[d.ID]; known && d.before(old.Departure) {
-		return false
+	if old, known := r.departures[d.ID]; known {
+		if d.Started.Before(old.Started) {
+			return false
+		}
+		d = d.merge(old.Departure)
 	}
 	s, listed := r.servers[d.ID]
 	switch {
 	case !listed:
 		r.note(now, d)
 		return false
-	case s.Started.After(d.Started) || s.Started.Equal(d.Started) && s.Sequence > d.Sequence:
+	case s.Started.After(d.Started) || s.Started.Equal(d.Started) && s.Sequence > d.Sequence && !d.Announced:
 		return false
-	case !d.Removed:
+	case d.Removed && d.Era != r.era:
+		r.drop(now, d.ID)
 		r.note(now, d)
-		r.servers[d.ID] = s.leaving()
-		return !s.Leaving
-	case d.Era == r.era:
+		return true
+	case d.Removed && !d.Announced:
 		// The own list is of the same history and as good as that of the other entry.
 		return false
 	default:
-		r.drop(now, d.ID)
+		d.Removed = false
 		r.note(now, d)
-		return true
+		r.servers[d.ID] = s.leaving()
+		return !s.Leaving
 	}
 }
 
-// before reports whether this departure is older than the other one of the same server.
-func (d Departure) before(other Departure) bool {
-	if d.Started.Equal(other.Started) {
-		return d.Sequence < other.Sequence
+// merge adds what an earlier departure of the same server says.
+func (d Departure) merge(earlier Departure) Departure {
+	if !d.Started.Equal(earlier.Started) {
+		return d
 	}
-	return d.Started.Before(other.Started)
+	announced := d.Announced || earlier.Announced
+	if d.Sequence < earlier.Sequence {
+		d = earlier
+	}
+	d.Announced = announced
+	return d
+}
+
+// Announced records that the server with the start time said in an answer that it is
+// leaving. It reports whether that was new.
+func (r *Registry) Announced(now time.Time, id ident.ServerID, started time.Time) bool {
+	return r.learn(now, Departure{ID: id, Started: started, Era: r.era, Announced: true})
 }
 
 // leaving returns the list entry with the server leaving.
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/invariant"
 )
 
 // returnGrace is how long after an outage or a restore of the instance list a removed
@@ -183,7 +184,11 @@
 // drop removes a server and remembers that it departed.
 func (r *Registry) drop(now time.Time, id ident.ServerID) {
 	s := r.servers[id]
-	r.note(now, Departure{ID: id, Started: s.Started, Sequence: s.Sequence, Era: r.era, Removed: true})
+	d := Departure{ID: id, Started: s.Started, Sequence: s.Sequence, Era: r.era, Removed: true}
+	if old, known := r.departures[id]; known && old.Started.Equal(d.Started) {
+		d.Announced = old.Announced
+	}
+	r.note(now, d)
 	delete(r.servers, id)
 	delete(r.lapsed, id)
 }
@@ -203,6 +208,11 @@
 
 // Servers returns all servers, sorted by ID.
 func (r *Registry) Servers() []Server {
+	for id, d := range r.departures {
+		s, listed := r.servers[id]
+		invariant.Check(!listed || !d.Announced || !s.Started.Equal(d.Started) || s.Leaving,
+			"a server that announced its leaving gets no new work", "server %s, started %s", id, d.Started)
+	}
 	return slices.SortedFunc(maps.Values(r.servers), func(a, b Server) int {
 		switch {
 		case a.ID < b.ID:
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -151,6 +151,27 @@
 	must.Eq(t, []registry.Server{again, restarted, server("c")}, r.Servers())
 }
 
+// Guards against new work for a server that announced its leaving, because the list says
+// otherwise later, and against leaving a restarted one unused.
+func TestAnnouncedLeavingHoldsUntilARestart(t *testing.T) {
+	r := registry.New()
+	r.Replace(start, 1, []registry.Server{server("a")})
+	must.True(t, r.Announced(start, "a", start))
+	must.False(t, r.Announced(start, "a", start))
+	later := server("a")
+	later.Sequence = 9
+	r.Apply(start, 1, []registry.Change{change(later)})
+	must.True(t, r.Servers()[0].Leaving)
+	r.Apply(start, 1, []registry.Change{gone("a"), change(later)})
+	must.SliceEmpty(t, r.Servers())
+	restarted := server("a")
+	restarted.Started = start.Add(time.Second)
+	r.Replace(start, 2, []registry.Server{restarted})
+	must.Eq(t, []registry.Server{restarted}, r.Servers())
+	must.False(t, r.Announced(start, "a", start))
+	must.False(t, r.Servers()[0].Leaving)
+}
+
 // Guards against recomputing the spread of work at every periodic write of a server.
 func TestWriteCounterAloneIsNoChange(t *testing.T) {
 	r := registry.New()
--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -6,7 +6,6 @@
 
 	"github.com/anvilpoint/anvilpoint/chart"
 	"github.com/anvilpoint/anvilpoint/internal/charts"
-	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
 	"github.com/anvilpoint/anvilpoint/internal/link"
 	"github.com/anvilpoint/anvilpoint/internal/message"
 )
@@ -76,34 +75,3 @@
 	}
 	c.advanceCatchUp(ctx, now, func() { c.catchUp.Fire(now, "told") })
 }
-
-// learnDepartures applies the departures that another entry knows.
-func (c *control) learnDepartures(ctx context.Context, now time.Time, m *message.ServerDepartures) {
-	if c.registry.Learn(now, decodeDepartures(m)) {
-		c.publishServers(ctx)
-	}
-}
-
-func encodeDepartures(list []registry.Departure) *message.ServerDepartures {
-	m := new(message.ServerDepartures)
-	for _, d := range list {
-		one := message.ServerDeparture{Server: d.ID, Sequence: d.Sequence, Era: d.Era, Removed: d.Removed}
-		if !d.Started.IsZero() {
-			one.StartedMS = d.Started.UnixMilli()
-		}
-		m.Departures = append(m.Departures, one)
-	}
-	return m
-}
-
-func decodeDepartures(m *message.ServerDepartures) []registry.Departure {
-	list := make([]registry.Departure, 0, len(m.Departures))
-	for _, one := range m.Departures {
-		d := registry.Departure{ID: one.Server, Sequence: one.Sequence, Era: one.Era, Removed: one.Removed}
-		if one.StartedMS != 0 {
-			d.Started = time.UnixMilli(one.StartedMS)
-		}
-		list = append(list, d)
-	}
-	return list
-}
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -285,11 +285,11 @@
 		c.step(now, request.NotSent{Attempt: c.currentAttempt})
 	case upstream.AnswerReceived:
 		c.silenceDeadline = time.Time{}
-		c.observeRate(now, e.Head)
+		c.observeHead(now, e.Head)
 		c.handleAnswer(now, e)
 	case upstream.StreamStarted:
 		c.silenceDeadline, c.answerBegan = time.Time{}, true
-		c.observeRate(now, e.Head)
+		c.observeHead(now, e.Head)
 		if c.streamHead == nil {
 			c.streamHead = &e
 		}
@@ -307,6 +307,18 @@
 	}
 }
 
+// observeHead reports what a backend server says of itself in its answer.
+func (c *clientRequest) observeHead(now time.Time, head call.Head) {
+	if head.Misdirected {
+		// The answer is from another server, which has the address now.
+		return
+	}
+	c.observeRate(now, head)
+	if head.Leaving {
+		c.handler.control.Send(detached(c.request), leavingAnnounced{server: c.currentServer.ID, started: c.currentServer.Started})
+	}
+}
+
 // observeRate reports the rate that a backend server's answer announces. That an answer
 // announces none is reported with the end of the attempt.
 func (c *clientRequest) observeRate(now time.Time, head call.Head) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -163,6 +163,8 @@
 		c.updateServers(ctx, now, m)
 	case serversUnreachable:
 		c.registry.SetUnreachable()
+	case leavingAnnounced:
+		c.handleLeaving(ctx, now, m)
 	case linkEvent:
 		c.handleLinkEvent(ctx, now, m.event)
 	case stopProcess:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,7 +176,7 @@
 			c.entryAddresses = append(c.entryAddresses, seed)
 		}
 	}
-	p.control = c
+	p.control, p.handler.control = c, c.mailbox
 	return nil
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -31,6 +31,7 @@
 // the HTTP server and exchange messages with the tasks.
 type clientHandler struct {
 	dispatch  *task.Mailbox[dispatchMessage]
+	control   *task.Mailbox[controlMessage]
 	transport *upstream.Transport
 	protocol  call.Protocol
 	machines  *request.Machines
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -39,6 +39,7 @@
 	backup := f.store.Copy()
 	f.store.Put(platform.ConfigurationKey, platformtest.ConfigDocument(2, "second"))
 	f.eventually("the second routes are in force", f.serves("i-2"))
+	f.awaitMetric("all servers are listed", `anvilpoint_backend_servers{state="ready"} 3`)
 	f.store.Delete("servers/i-2")
 	f.awaitMetric("the removed server is not listed", `anvilpoint_backend_servers{state="ready"} 2`)
 	f.store.Restore(backup)
--- a/internal/message/hosted.go
+++ b/internal/message/hosted.go
@@ -84,6 +84,8 @@
 	// Era is the era of the list in which the departure became known.
 	Era     uint64
 	Removed bool
+	// Announced reports whether the server itself said in an answer that it is leaving.
+	Announced bool
 }
 
 // StateSummary ends what an entry tells another one when their link comes up.
