intake, gateway, upstream, platform: leave a server alone that asked for a pause

A server that turns a request away with 503 may say for how long it wants no other; the entries did not decode it and went on sending, and callers lost the time of attempts that were turned away.

The pause is a lifecycle of each server at each entry (chart requested-pause); while it lasts the server is no candidate, for first attempts and retries, not even if all others fail (invariant in intake.Started). It outlasts a time in which the server is not listed, not a restart of the server. A request whose connection took long to open asks once more before it is written. Pauses are not passed on: the server asked this entry only.

The request itself goes to another server at once. If all have asked for a pause, requests wait only if one ends in time; others are refused at once, with the time after which a server takes requests again.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -67,6 +67,9 @@
 	Misdirected bool
 	// Closing reports whether the server closes the connection after this answer.
 	Closing bool
+	// RetryAfter is how long a server that turned the request away wants no other one, zero
+	// if it does not say.
+	RetryAfter time.Duration
 	// Leaving reports whether the server says that it is leaving.
 	Leaving bool
 	// BlamedAddress is the host and port of the server whose failure kept this one from
--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -17,6 +17,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/charts"
 	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/invariant"
 	"github.com/anvilpoint/anvilpoint/internal/record"
 )
 
@@ -73,7 +74,10 @@
 	config  Config
 	machine *chart.Machine[*server]
 	rates   *chart.Machine[*announcedRate]
+	pauses  *chart.Machine[*requestedPause]
 	servers map[ident.ServerID]*server
+	// unlistedPauses holds servers that are not listed and have asked for a pause.
+	unlistedPauses map[ident.ServerID]*server
 	// order holds the servers in the order of the list.
 	order  []*server
 	peers  map[ident.InstanceID]peerCounts
@@ -97,6 +101,8 @@
 	slowBy float64
 	slowAt time.Time
 	rate   announcedRate
+	// requested is shared by two values of a server that was not listed for a time.
+	requested *requestedPause
 }
 
 // PeerReport is what another entry reports about a service.
@@ -120,6 +126,7 @@
 	s := &Service{
 		config: c, random: random, servers: make(map[ident.ServerID]*server),
 		peers: make(map[ident.InstanceID]peerCounts), pass: newPassModel(c.Engine),
+		unlistedPauses: make(map[ident.ServerID]*server), pauses: newPauseMachine(),
 	}
 	s.machine = chart.MustBind(charts.Must("replica"), chart.Binding[*server]{
 		Guards: map[string]func(*server) bool{
@@ -158,9 +165,8 @@
 	for _, one := range list {
 		b := s.servers[one.ID]
 		if b == nil || !b.Started.Equal(one.Started) {
-			b = &server{Server: one}
-			b.lifecycle = s.machine.New(now, b)
-			b.rate.lifecycle = s.rates.New(now, &b.rate)
+			b = s.newServer(now, one)
+			s.restorePause(b)
 		}
 		b.Server, b.elsewhere, b.rate.startsElsewhere = one, 0, 0
 		switch {
@@ -172,12 +178,21 @@
 		kept[one.ID] = b
 		s.order = append(s.order, b)
 	}
+	s.keepPauses(now, kept)
 	s.servers = kept
 	for _, p := range s.peers {
 		s.countPeer(p, 1)
 	}
 }
 
+func (s *Service) newServer(now time.Time, listed registry.Server) *server {
+	b := &server{Server: listed, requested: new(requestedPause)}
+	b.lifecycle = s.machine.New(now, b)
+	b.rate.lifecycle = s.rates.New(now, &b.rate)
+	b.requested.lifecycle = s.pauses.New(now, b.requested)
+	return b
+}
+
 // countPeer adds another entry's request counts to the servers, or with sign -1
 // subtracts them.
 func (s *Service) countPeer(p peerCounts, sign int) {
@@ -371,7 +386,7 @@
 	for _, b := range s.order {
 		b.lifecycle.Tick(now)
 		switch {
-		case slices.Contains(tried, b.ID) || !b.lifecycle.In("eligible"):
+		case slices.Contains(tried, b.ID) || !b.lifecycle.In("eligible") || b.requested.paused(now):
 		case b.usable():
 			usable = append(usable, b)
 		default:
@@ -412,6 +427,7 @@
 // Started counts a request that was sent to the server.
 func (s *Service) Started(now time.Time, id ident.ServerID) {
 	if b := s.servers[id]; b != nil {
+		invariant.Check(!b.requested.paused(now), "a server that asked for a pause gets no request", "server %s", id)
 		b.running++
 		b.rate.started(now)
 	}
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -240,7 +240,7 @@
 		Target: c.request.RequestURI, Host: c.request.Host, Header: c.handler.protocol.Forward(c.request.Header, c.forwardHeaders(left)),
 		Body: c.body, HasBody: len(c.body) > 0 || c.request.ContentLength >= 0 && c.request.Header.Get("Content-Length") != "",
 		Stream: c.route.Kind == record.Streaming, AtMostOnce: !c.route.Repeats(),
-		DetectCrash: len(c.meta.PromptParts) > 0,
+		DetectCrash: len(c.meta.PromptParts) > 0, MaySend: c.maySend(),
 	}
 	number, events := c.currentAttempt, c.events
 	c.attempts.Go(func() {
@@ -255,6 +255,17 @@
 	c.log("request.sent", outcome.ReasonNone, fmt.Sprintf("attempt %d, %d ms left", a.Attempt, left.Milliseconds()))
 }
 
+// maySend returns a function that asks whether the current server still takes requests.
+func (c *clientRequest) maySend() func(context.Context) bool {
+	dispatch, service, server := c.handler.dispatch, c.service, c.currentServer.ID
+	return func(ctx context.Context) bool {
+		may, ok := task.Ask(ctx, dispatch, func(reply chan<- bool) dispatchMessage {
+			return maySend{service: service, server: server, reply: reply}
+		})
+		return ok && may
+	}
+}
+
 func (c *clientRequest) forwardHeaders(left time.Duration) call.Forward {
 	f := call.Forward{Server: c.currentServer.ID, Account: c.account, TimeLeft: left, Priority: call.PriorityUnset}
 	if c.route.Kind == record.Streaming {
@@ -280,7 +291,7 @@
 func (c *clientRequest) handleEvent(now time.Time, e upstream.Event) {
 	switch e := e.(type) {
 	case upstream.NotSent:
-		c.serverFailed = true
+		c.serverFailed = !e.Withdrawn
 		c.log("request.unsent", outcome.ReasonLinkLost, e.Err.Error())
 		c.step(now, request.NotSent{Attempt: c.currentAttempt})
 	case upstream.AnswerReceived:
@@ -314,6 +325,11 @@
 		return
 	}
 	c.observeRate(now, head)
+	if head.RetryAfter > 0 {
+		c.handler.dispatch.Send(detached(c.request), pauseRequested{
+			service: c.service, server: c.currentServer.ID, started: c.currentServer.Started, length: head.RetryAfter,
+		})
+	}
 	if head.Leaving {
 		c.handler.control.Send(detached(c.request), leavingAnnounced{server: c.currentServer.ID, started: c.currentServer.Started})
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -78,6 +78,20 @@
 		server    ident.ServerID
 		perSecond float64
 	}
+	// pauseRequested reports that a server, with the start time, turned a request away and
+	// wants none for a time.
+	pauseRequested struct {
+		service ident.ServiceName
+		server  ident.ServerID
+		started time.Time
+		length  time.Duration
+	}
+	// maySend asks whether a request may still be sent to the server picked for it.
+	maySend struct {
+		service ident.ServiceName
+		server  ident.ServerID
+		reply   chan<- bool
+	}
 	// gapObserved reports the mean time between two events of a stream.
 	gapObserved struct {
 		service ident.ServiceName
@@ -108,6 +122,8 @@
 func (attemptEnded) isDispatchMessage()    {}
 func (rateObserved) isDispatchMessage()    {}
 func (gapObserved) isDispatchMessage()     {}
+func (pauseRequested) isDispatchMessage()  {}
+func (maySend) isDispatchMessage()         {}
 func (setRoutes) isDispatchMessage()       {}
 func (setServers) isDispatchMessage()      {}
 func (peerReport) isDispatchMessage()      {}
@@ -213,6 +229,11 @@
 		d.endAttempt(now, m)
 	case rateObserved:
 		d.observeRate(now, m)
+	case pauseRequested:
+		d.service(m.service).Pause(now, m.server, m.started, m.length)
+		d.logger.Info().Str("server", string(m.server)).Dur("pause", m.length).Msg("backend server turned a request away and asked for a pause")
+	case maySend:
+		m.reply <- d.service(m.service).MaySend(now, m.server)
 	case gapObserved:
 		d.service(m.service).ObserveGap(now, m.gap)
 	case setRoutes:
@@ -342,7 +363,7 @@
 	}
 	server, ok := d.pickServer(now, m.service, m.tried)
 	if !ok {
-		return choice{reason: outcome.ReasonNoServer}
+		return choice{reason: outcome.ReasonNoServer, retryAfter: d.resumeRetryAfter(now, m.service)}
 	}
 	return choice{server: server, ok: true}
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -119,7 +119,7 @@
 			}
 			w.waited = now.Sub(w.arrived)
 			w.reply <- w.admission
-		case !now.Before(w.deadline) || w.state.Usable == 0:
+		case !now.Before(w.deadline) || w.state.Usable == 0 && !d.resumesBefore(now, w):
 			d.refuseWaiter(now, w)
 		default:
 			kept = append(kept, w)
@@ -167,12 +167,30 @@
 	return ok
 }
 
+// resumesBefore reports whether a server that asked for a pause takes requests again before
+// the request must be refused.
+func (d *dispatch) resumesBefore(now time.Time, w *waiter) bool {
+	wait := d.service(w.service).ResumesIn(now)
+	return wait > 0 && now.Add(wait).Before(w.deadline)
+}
+
+// resumeRetryAfter returns when a client may come back to a service whose servers have asked
+// for a pause, zero if none has.
+func (d *dispatch) resumeRetryAfter(now time.Time, service ident.ServiceName) time.Duration {
+	wait := d.service(service).ResumesIn(now)
+	if wait == 0 {
+		return 0
+	}
+	return max(wait, minRetryAfter) + time.Duration(d.random.Int64N(int64(retryAfterJitter)))
+}
+
 func (d *dispatch) refuseWaiter(now time.Time, w *waiter) {
 	w.waited = now.Sub(w.arrived)
 	w.status, w.retryAfter = http.StatusServiceUnavailable, d.retryAfter()
 	w.outcome = outcome.DidNotRun(outcome.ReasonQueueFull, "the service has no free slot")
 	if w.state.Usable == 0 {
 		w.outcome = outcome.DidNotRun(outcome.ReasonNoServer, "the service has no usable backend server")
+		w.retryAfter = max(w.retryAfter, d.resumeRetryAfter(now, w.service))
 	}
 	w.reply <- w.admission
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -32,13 +32,21 @@
 	// is read. A larger request is written concurrently, since a server may answer before
 	// it has read a long body.
 	inlineWriteBytes = 8 << 10
+	// slowConnectTime is the time to open a connection after which the choice of the server
+	// is checked again. A server that asked for a pause must get no request from 0.5 s after
+	// it did.
+	slowConnectTime = 200 * time.Millisecond
 )
 
 // Event reports something that happened to an attempt.
 type Event interface{ isEvent() }
 
 // NotSent reports that nothing of the request was written.
-type NotSent struct{ Err error }
+type NotSent struct {
+	Err error
+	// Withdrawn is set if the request was kept back by Request.MaySend.
+	Withdrawn bool
+}
 
 // AnswerReceived is a complete answer that is not a stream.
 type AnswerReceived struct {
@@ -97,6 +105,9 @@
 	// DetectCrash is set if the caller needs to know whether a failure was a crash of the
 	// server. It costs one connection for each answer that is broken off before any output.
 	DetectCrash bool
+	// MaySend is asked before the request is written if opening the connection took long. If
+	// it returns false, the request is not sent. Nil means that it may always be sent.
+	MaySend func(ctx context.Context) bool
 }
 
 // Transport calls backend servers.
@@ -112,11 +123,17 @@
 // Run makes one attempt and calls emit with its events, in order. The last one is
 // NotSent, AnswerReceived, StreamCompleted or Failed, unless the context ends first.
 func (c *Transport) Run(ctx context.Context, r Request, emit func(Event)) {
+	begin := time.Now()
 	connection, err := c.connect(ctx, r)
 	if err != nil {
 		emit(NotSent{Err: err})
 		return
 	}
+	if r.MaySend != nil && time.Since(begin) > slowConnectTime && !r.MaySend(ctx) {
+		c.release(ctx, r.Server, connection)
+		emit(NotSent{Err: errors.Errorf("backend server %s takes no more requests", r.Server), Withdrawn: true})
+		return
+	}
 	// Closing the socket unblocks a pending read, and tells the server that the answer is
 	// not needed any more.
 	stop := context.AfterFunc(ctx, connection.abort)
@@ -127,7 +144,12 @@
 		x.writer.Wait()
 		return
 	}
-	if !c.Pool.mailbox.Send(ctx, release{server: r.Server, conn: connection}).Accepted() {
+	c.release(ctx, r.Server, connection)
+}
+
+// release returns a connection to the pool for another request.
+func (c *Transport) release(ctx context.Context, server ident.ServerID, connection *conn) {
+	if !c.Pool.mailbox.Send(ctx, release{server: server, conn: connection}).Accepted() {
 		connection.close(time.Now())
 	}
 }
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -155,6 +155,30 @@
 	must.Eq(t, "body", string(body))
 }
 
+// Guards against a request that is sent to a server that asked for a pause while the
+// connection was opened.
+func TestRequestIsKeptBackAfterASlowConnect(t *testing.T) {
+	f := newFixture(t)
+	dial := f.transport.Dial
+	f.transport.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		time.Sleep(250 * time.Millisecond)
+		return dial(ctx, address)
+	}
+	may := false
+	r := upstream.Request{Server: "s", Address: f.address, ID: "1", Method: http.MethodGet, Target: "/", Host: "h", MaySend: func(context.Context) bool { return may }}
+	events := collect(f.start(context.Background(), r))
+	must.SliceLen(t, 1, events)
+	kept, ok := events[0].(upstream.NotSent)
+	must.True(t, ok)
+	must.True(t, kept.Withdrawn)
+	may = true
+	later := f.start(context.Background(), r)
+	s := f.accept()
+	must.Eq(t, "/", s.read(t).URL.Path)
+	s.write(answer("1", "body"))
+	must.SliceLen(t, 1, collect(later))
+}
+
 // Guards against a request that is resent on a new connection when a reused one ends
 // without an answer: the request may have run.
 func TestRequestIsWrittenOnce(t *testing.T) {
