soak, platformtest: restores of the store, servers that announce their leaving, and pauses

The soak did not restore the store, and its servers said nothing of themselves. Now the store comes back from a copy and is written again up to a second later, servers that are leaving say so in their answers (a third of them only there), and some turn requests away for a time.

--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -22,7 +22,7 @@
 	f.serveWaiting(time.Second)
 	must.True(t, answered(waiting))
 	must.Eq(t, 0, (<-waiting).status)
-	pause(5*time.Second)
+	pause(5 * time.Second)
 	refused := f.ask(2*time.Second, 0, 0)
 	must.True(t, answered(refused))
 	a := <-refused
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -17,6 +17,10 @@
 	requestTimeout = 2 * time.Second
 	// maxAnswerLag is how long after requestTimeout an entry that runs may answer.
 	maxAnswerLag = time.Second
+	// maxPauseLag is how long after a server asked for a pause its requests do not count,
+	// maxPauseArrivals how many may reach it from then to the end of the pause.
+	maxPauseLag      = 500 * time.Millisecond
+	maxPauseArrivals = 2
 	// maxCrashes is how often a prompt part may crash a server until all entries know it.
 	maxCrashes = 5
 )
@@ -44,6 +48,8 @@
 // timed checks bounds on time, which hold only on a machine that is not busy.
 func (c *checks) timed() {
 	c.leaving()
+	c.announcedLeaving()
+	c.pauses()
 	c.timeouts()
 }
 
@@ -243,6 +249,65 @@
 	}
 }
 
+// runsThrough reports whether the process that runs at a time ran on without a signal until
+// a later one.
+func (c *checks) runsThrough(process string, from, to time.Time) bool {
+	return slices.ContainsFunc(c.incarnations(process), func(in incarnation) bool {
+		return in.start.Before(from) && (in.end.IsZero() || in.end.After(to)) &&
+			!slices.ContainsFunc(in.interruptions, func(at time.Time) bool { return at.After(from.Add(-clientTimeout)) && at.Before(to) })
+	})
+}
+
+// announcedLeaving guards against requests to a server from an entry that passed on an
+// answer in which it said that it is leaving, whether the entry reaches the store or not.
+func (c *checks) announcedLeaving() {
+	heard := make(map[string]time.Time)
+	for _, x := range c.record.results {
+		key := fmt.Sprint(x.entry, " ", x.leaving)
+		if first, known := heard[key]; x.leaving != "" && (!known || x.end.Before(first)) {
+			heard[key] = x.end
+		}
+	}
+	sent := make(map[string]time.Time, len(c.record.results))
+	for _, x := range c.record.results {
+		sent[x.id] = x.start
+	}
+	for _, x := range c.record.arrivals {
+		entry, _, _ := strings.Cut(x.id, "-")
+		at, known := heard[entry+" "+x.boot]
+		start, recorded := sent[x.id]
+		if known && recorded && start.Sub(at) > maxLeaveLag && c.runsThrough("entry-"+entry, at, x.at) {
+			c.failf("request %s: sent to %s %s after the entry had passed on that it is leaving", x.id, x.boot, start.Sub(at))
+		}
+	}
+}
+
+// pauses guards against requests to a server that turned one of the same entry away and
+// asked for a pause.
+func (c *checks) pauses() {
+	for _, away := range c.record.arrivals {
+		if !away.turnedAway {
+			continue
+		}
+		entry, _, _ := strings.Cut(away.id, "-")
+		from, to := away.at.Add(maxPauseLag), away.at.Add(pauseTime)
+		// An entry whose connection is held up gets the answer late, or not at all.
+		cut := slices.ContainsFunc(c.record.events, func(e event) bool { return e.process == away.server && e.overlaps(away.at.Add(-maxFaultTime), to) })
+		if cut || !c.runsThrough("entry-"+entry, away.at, to) {
+			continue
+		}
+		arrived := 0
+		for _, x := range c.record.arrivals {
+			if other, _, _ := strings.Cut(x.id, "-"); other == entry && x.boot == away.boot && x.at.After(from) && x.at.Before(to) {
+				arrived++
+			}
+		}
+		if arrived > maxPauseArrivals {
+			c.failf("request %s: turned away by %s, which got %d more of the entry within the pause", away.id, away.boot, arrived)
+		}
+	}
+}
+
 // leavingSince returns when the server was registered as draining, if it was
 // draining at the given time.
 func (c *checks) leavingSince(server string, at time.Time) (from time.Time, leaving bool) {
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -69,6 +69,9 @@
 		body, err = io.ReadAll(response.Body)
 		_ = response.Body.Close()
 		x.status, x.sealed, x.body = response.StatusCode, platformtest.HasSeal(response.Header), string(body)
+		if platformtest.AnnouncesLeaving(response.Header) {
+			x.leaving = response.Header.Get(bootHeader)
+		}
 	}
 	x.end, x.err = time.Now(), err
 	return x
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -28,9 +28,13 @@
 	// 0.3 s.
 	streamEvents  = 20
 	eventInterval = 15 * time.Millisecond
+	// pauseTime is how long a server that turned a request away wants no others.
+	pauseTime = 1500 * time.Millisecond
 	// deadlyPart is a prompt part that can crash servers, crashTime how long one is down.
 	deadlyPart = "deadly"
 	crashTime  = 500 * time.Millisecond
+	// bootHeader is a header of the stand-ins' answers that names the server's process.
+	bootHeader = "Soak-Boot"
 	// Listening ports are chosen from minPort to maxPort-1. The range lies below the one
 	// from which Linux takes the ports of outgoing connections, so that no connection
 	// takes the port of a process that is being restarted.
@@ -70,6 +74,10 @@
 	name    string
 	// mode is one of the modes below.
 	mode atomic.Int32
+	// leaving reports whether the server's answers say that it is leaving. starts counts
+	// its restarts.
+	leaving atomic.Bool
+	starts  atomic.Int32
 }
 
 // The modes of a server say what it does with requests.
@@ -83,6 +91,8 @@
 	modeSlow
 	// modeAnnounceRate announces a low rate.
 	modeAnnounceRate
+	// modeTurnAway turns requests away and wants no others for pauseTime.
+	modeTurnAway
 	// modeCutStream closes the connection in the middle of a stream.
 	modeCutStream
 	modeCount
@@ -169,20 +179,45 @@
 	s.replica.RegisterAt(c.store, "svc", state, s.proxy.address())
 }
 
+// writeAgain writes what the store may have lost: the newest configuration and the entries
+// of all servers.
+func (c *cluster) writeAgain() {
+	c.publish(c.version)
+	for _, s := range c.servers {
+		state := "ready"
+		if s.leaving.Load() {
+			state = "draining"
+		}
+		c.register(s, state)
+	}
+}
+
+// boot names one process of the server.
+func (s *server) boot() string { return fmt.Sprint(s.name, " start ", s.starts.Load()) }
+
 // serve handles the requests to a server. The answer consists of the request id and the
 // client account that the entry determined.
 func (c *cluster) serve(s *server, rw http.ResponseWriter, r *http.Request) {
-	x := execution{id: platformtest.RequestID(r), server: s.name, at: time.Now()}
+	x := execution{id: platformtest.RequestID(r), server: s.name, boot: s.boot(), at: time.Now()}
+	rw.Header().Set(bootHeader, x.boot)
+	if s.leaving.Load() {
+		platformtest.AnnounceLeaving(rw)
+	}
+	mode := s.mode.Load()
+	x.turnedAway = mode == modeTurnAway
 	x.deadly = c.deadly.Load() && platformtest.HasPromptPart(r, deadlyPart)
 	c.recorder.arrived(x)
 	if x.deadly {
 		s.proxy.crash(crashTime)
 		platformtest.DropConnection(rw, r)
 	}
-	mode := s.mode.Load()
-	if mode == modeRefuse {
+	switch mode {
+	case modeRefuse:
 		platformtest.RefuseNotRun(rw, r)
 		return
+	case modeTurnAway:
+		platformtest.TurnAway(fmt.Sprint(pauseTime.Seconds()))(rw, r)
+		return
 	}
 	c.recorder.executed(x)
 	switch {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/anvilpoint/anvilpoint/platform/platformtest"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
@@ -17,6 +18,8 @@
 	undo    *task.Group
 	// leaving has one element for each server that is draining, to bound their number.
 	leaving chan struct{}
+	// backup is a copy of the store, from which it may be restored.
+	backup platformtest.StoreCopy
 }
 
 const (
@@ -34,7 +37,7 @@
 func newInjector(c *cluster) *injector {
 	return &injector{
 		cluster: c, random: rand.New(rand.NewPCG(c.seed, 1)), undo: task.NewGroup(context.Background()),
-		leaving: make(chan struct{}, maxLeaving),
+		leaving: make(chan struct{}, maxLeaving), backup: c.store.Copy(),
 	}
 }
 
@@ -44,6 +47,7 @@
 	kinds := []func(){
 		i.entryFault, i.rankFault, i.serverConnectionFault, i.storeConnectionFault, i.storeOutage, i.serverMode,
 		i.drainServer, i.publish, i.publishOlder, i.changeHotExpert, i.engineConnectionFault, i.poison,
+		i.restoreStore,
 	}
 	i.random.Shuffle(len(kinds), func(a, b int) { kinds[a], kinds[b] = kinds[b], kinds[a] })
 	return kinds[:3+i.random.IntN(len(kinds)-3)]
@@ -133,6 +137,20 @@
 	i.begin("store", "down", i.between(200*time.Millisecond, maxFaultTime), func() { i.cluster.store.SetDown(false) })
 }
 
+// restoreStore restores the store from the last copy, with or without an outage before it,
+// or makes a new copy. What the copy lacks is written again after a time.
+func (i *injector) restoreStore() {
+	if i.random.IntN(2) == 0 {
+		i.backup = i.cluster.store.Copy()
+		return
+	}
+	if i.random.IntN(2) == 0 {
+		i.storeOutage()
+	}
+	i.cluster.store.Restore(i.backup)
+	i.begin("store", "restored", i.between(0, time.Second), i.cluster.writeAgain)
+}
+
 func (i *injector) serverMode() {
 	s := i.server()
 	s.mode.Store(i.random.Int32N(modeCount))
@@ -146,8 +164,20 @@
 	default:
 		return
 	}
-	i.cluster.register(s, "draining")
+	if !s.leaving.CompareAndSwap(false, true) {
+		<-i.leaving
+		return
+	}
+	// Some servers never report that they are draining.
+	if i.random.IntN(3) == 0 {
+		i.cluster.store.Delete("servers/" + s.name)
+	} else {
+		i.cluster.register(s, "draining")
+	}
 	i.begin(s.name+" leaving", "leaving", leaveTime, func() {
+		s.replica.Restart()
+		s.starts.Add(1)
+		s.leaving.Store(false)
 		i.cluster.register(s, "ready")
 		<-i.leaving
 	})
--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -32,7 +32,11 @@
 // execution is a request that reached a backend server or was run by it.
 type execution struct {
 	id, server string
-	at         time.Time
+	// boot names the process of the server.
+	boot string
+	at   time.Time
+	// turnedAway reports whether the server answered that it wants no request for pauseTime.
+	turnedAway bool
 	// deadly reports whether the request crashed the server.
 	deadly bool
 }
@@ -49,6 +53,8 @@
 	// backend server's own.
 	sealed bool
 	body   string
+	// leaving is the process of the server whose answer says that it is leaving, if it does.
+	leaving string
 	// err is set if the client did not receive a complete answer.
 	err error
 }
