decide/registry: use a server again that stays in a restored list

A sound server that had been removed, because it could not reach the store for a time, and that the copy holds, would never be used again by the entries that had seen its removal: it has no reason to register again. Callers would have fewer servers until it restarts.

An entry of a removed server that the list holds in a later era is used once it has stayed there for 5 s: the list drops a silent server after three heartbeat intervals. A server that announced its leaving is not used again.

TestServerThatStaysInARestoredListIsUsedAgain failed before.

--- a/internal/decide/registry/departures.go
+++ b/internal/decide/registry/departures.go
@@ -101,6 +101,7 @@
 	case d.Removed && d.Era != r.era:
 		r.drop(now, d.ID)
 		r.note(now, d)
+		r.doubt(now, s)
 		return true
 	case d.Removed && !d.Announced:
 		// The own list is of the same history and as good as that of the other entry.
@@ -119,7 +120,7 @@
 		return d
 	}
 	announced := d.Announced || earlier.Announced
-	if d.Sequence < earlier.Sequence {
+	if d.Sequence < earlier.Sequence || d.Sequence == earlier.Sequence && earlier.Removed {
 		d = earlier
 	}
 	d.Announced = announced
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -67,6 +67,9 @@
 	lapsed map[ident.ServerID]bool
 	// departures are the servers that are leaving, and those that were removed lately.
 	departures map[ident.ServerID]departure
+	// unconfirmed are the servers that the list holds although they were removed from it
+	// in an earlier era.
+	unconfirmed map[ident.ServerID]unconfirmed
 	// backAt is when the list was first read after its last outage or restore.
 	backAt time.Time
 	// era is the era of the last read.
@@ -79,7 +82,7 @@
 func New() *Registry {
 	return &Registry{
 		servers: make(map[ident.ServerID]Server), lapsed: make(map[ident.ServerID]bool),
-		departures: make(map[ident.ServerID]departure),
+		departures: make(map[ident.ServerID]departure), unconfirmed: make(map[ident.ServerID]unconfirmed),
 	}
 }
 
@@ -109,6 +112,7 @@
 func (u *Update) put(now time.Time, r *Registry, s Server) {
 	if r.outdated(s) {
 		u.Outdated = append(u.Outdated, s)
+		r.doubt(now, s)
 		return
 	}
 	u.Changed = r.put(now, s) || u.Changed
@@ -123,6 +127,11 @@
 		listed[s.ID] = true
 		u.put(now, r, s)
 	}
+	for id := range r.unconfirmed {
+		if !listed[id] {
+			delete(r.unconfirmed, id)
+		}
+	}
 	for id := range r.servers {
 		if !listed[id] {
 			u.Changed = r.remove(now, id) || u.Changed
@@ -156,6 +165,7 @@
 func (r *Registry) put(now time.Time, s Server) bool {
 	old, exists := r.servers[s.ID]
 	delete(r.lapsed, s.ID)
+	delete(r.unconfirmed, s.ID)
 	d, departed := r.departures[s.ID]
 	switch {
 	case departed && !d.Removed && r.covers(d.Departure, s):
@@ -170,6 +180,7 @@
 }
 
 func (r *Registry) remove(now time.Time, id ident.ServerID) bool {
+	delete(r.unconfirmed, id)
 	if _, exists := r.servers[id]; !exists {
 		return false
 	}
@@ -194,12 +205,16 @@
 }
 
 // Tick removes the servers that did not return in time after an outage or a restore of the
-// list. It reports whether there were any.
+// list, and adds those that stayed in it. It reports whether there were any.
 func (r *Registry) Tick(now time.Time) bool {
 	// While the list cannot be reached, nobody sees who has returned.
-	if r.unreachable || len(r.lapsed) == 0 || now.Sub(r.backAt) < returnGrace {
+	if r.unreachable {
 		return false
 	}
+	changed := r.confirm(now)
+	if len(r.lapsed) == 0 || now.Sub(r.backAt) < returnGrace {
+		return changed
+	}
 	for id := range r.lapsed {
 		r.drop(now, id)
 	}
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -97,6 +97,22 @@
 	must.True(t, r.Tick(start.Add(10500*time.Millisecond)))
 }
 
+// Guards against a sound server that stays unused because it was removed before the list was
+// restored from a copy that holds it: it has no reason to register again.
+func TestServerThatStaysInARestoredListIsUsedAgain(t *testing.T) {
+	r := registry.New()
+	r.Replace(start, 1, []registry.Server{server("a"), server("b"), server("c")})
+	r.Apply(start, 1, []registry.Change{gone("a"), gone("b"), gone("c")})
+	r.Announced(start, "c", start)
+	back := start.Add(time.Second)
+	r.Replace(back, 2, []registry.Server{server("a"), server("b"), server("c")})
+	r.Apply(back.Add(3*time.Second), 2, []registry.Change{gone("b")})
+	must.False(t, r.Tick(back.Add(4*time.Second)))
+	must.SliceEmpty(t, r.Servers())
+	must.True(t, r.Tick(back.Add(6*time.Second)))
+	must.Eq(t, []registry.Server{server("a")}, r.Servers())
+}
+
 // Guards against a server that stays unused because its list entry had been removed before
 // the list was restored, though it registers again or was restarted.
 func TestServerThatRegistersAgainAfterARestoreIsUsed(t *testing.T) {
