decide/registry, message: let departures that entries tell each other expire

Each entry remembered for two minutes, from when it was told, what another one knew, and told it again at the next link: departures would never have been forgotten, and the list of them would have grown with every server that is replaced. They carry their age now.

TestDeparturesAreForgotten failed before.

--- a/internal/decide/registry/departures.go
+++ b/internal/decide/registry/departures.go
@@ -27,22 +27,18 @@
 	// Announced reports whether the server itself said in an answer that it is leaving. It
 	// then is, whatever the list says, until it is started again.
 	Announced bool
-}
-
-// departure is a departure that became known at a time.
-type departure struct {
-	Departure
-	at time.Time
+	// At is when the first entry learned of it, by the clock of this entry.
+	At time.Time
 }
 
 // note remembers a departure.
 func (r *Registry) note(now time.Time, d Departure) {
 	for id, old := range r.departures {
-		if _, listed := r.servers[id]; !listed && now.Sub(old.at) > departureTTL {
+		if _, listed := r.servers[id]; !listed && now.Sub(old.At) > departureTTL {
 			delete(r.departures, id)
 		}
 	}
-	r.departures[d.ID] = departure{Departure: d, at: now}
+	r.departures[d.ID] = d
 }
 
 // covers reports whether the list entry was written before the departure.
@@ -66,8 +62,8 @@
 func (r *Registry) Departures(now time.Time) []Departure {
 	var list []Departure
 	for _, d := range r.departures {
-		if now.Sub(d.at) <= departureTTL {
-			list = append(list, d.Departure)
+		if now.Sub(d.At) <= departureTTL {
+			list = append(list, d)
 		}
 	}
 	slices.SortFunc(list, func(a, b Departure) int { return cmp.Compare(a.ID, b.ID) })
@@ -89,7 +85,7 @@
 		if d.Started.Before(old.Started) {
 			return false
 		}
-		d = d.merge(old.Departure)
+		d = d.merge(old)
 	}
 	s, listed := r.servers[d.ID]
 	switch {
@@ -130,7 +126,7 @@
 // Announced records that the server with the start time said in an answer that it is
 // leaving. It reports whether that was new.
 func (r *Registry) Announced(now time.Time, id ident.ServerID, started time.Time) bool {
-	return r.learn(now, Departure{ID: id, Started: started, Era: r.era, Announced: true})
+	return r.learn(now, Departure{ID: id, Started: started, Era: r.era, Announced: true, At: now})
 }
 
 // leaving returns the list entry with the server leaving.
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -66,7 +66,7 @@
 	// of the list. They are dropped unless they return within returnGrace after backAt.
 	lapsed map[ident.ServerID]bool
 	// departures are the servers that are leaving, and those that were removed lately.
-	departures map[ident.ServerID]departure
+	departures map[ident.ServerID]Departure
 	// unconfirmed are the servers that the list holds although they were removed from it
 	// in an earlier era.
 	unconfirmed map[ident.ServerID]unconfirmed
@@ -82,7 +82,7 @@
 func New() *Registry {
 	return &Registry{
 		servers: make(map[ident.ServerID]Server), lapsed: make(map[ident.ServerID]bool),
-		departures: make(map[ident.ServerID]departure), unconfirmed: make(map[ident.ServerID]unconfirmed),
+		departures: make(map[ident.ServerID]Departure), unconfirmed: make(map[ident.ServerID]unconfirmed),
 	}
 }
 
@@ -159,7 +159,7 @@
 		return s.olderThan(known)
 	}
 	d, departed := r.departures[s.ID]
-	return departed && d.Removed && r.covers(d.Departure, s)
+	return departed && d.Removed && r.covers(d, s)
 }
 
 func (r *Registry) put(now time.Time, s Server) bool {
@@ -168,10 +168,10 @@
 	delete(r.unconfirmed, s.ID)
 	d, departed := r.departures[s.ID]
 	switch {
-	case departed && !d.Removed && r.covers(d.Departure, s):
+	case departed && !d.Removed && r.covers(d, s):
 		s.Leaving = true
 	case s.Leaving && !(exists && old.Leaving):
-		r.note(now, Departure{ID: s.ID, Started: s.Started, Sequence: s.Sequence, Era: r.era})
+		r.note(now, Departure{ID: s.ID, Started: s.Started, Sequence: s.Sequence, Era: r.era, At: now})
 	case !s.Leaving:
 		delete(r.departures, s.ID)
 	}
@@ -195,7 +195,7 @@
 // drop removes a server and remembers that it departed.
 func (r *Registry) drop(now time.Time, id ident.ServerID) {
 	s := r.servers[id]
-	d := Departure{ID: id, Started: s.Started, Sequence: s.Sequence, Era: r.era, Removed: true}
+	d := Departure{ID: id, Started: s.Started, Sequence: s.Sequence, Era: r.era, Removed: true, At: now}
 	if old, known := r.departures[id]; known && old.Started.Equal(d.Started) {
 		d.Announced = old.Announced
 	}
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -152,6 +152,16 @@
 	must.Eq(t, want, after.Servers())
 }
 
+// Guards against departures that entries keep alive by telling each other of them.
+func TestDeparturesAreForgotten(t *testing.T) {
+	one, other := registry.New(), registry.New()
+	one.Replace(start, 1, []registry.Server{server("a")})
+	one.Apply(start, 1, []registry.Change{gone("a")})
+	other.Learn(start.Add(time.Minute), one.Departures(start.Add(time.Minute)))
+	must.SliceLen(t, 1, other.Departures(start.Add(time.Minute)))
+	must.SliceEmpty(t, other.Departures(start.Add(3*time.Minute)))
+}
+
 // Guards against dropping a server because another entry, whose news are old, saw it removed
 // before it registered again.
 func TestOldDeparturesOfOtherEntriesAreIgnored(t *testing.T) {
--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -48,7 +48,7 @@
 	departures := c.registry.Departures(now)
 	for len(departures) > 0 {
 		n := min(len(departures), departuresPerMessage)
-		to.Send(encodeDepartures(departures[:n]))
+		to.Send(encodeDepartures(now, departures[:n]))
 		departures = departures[n:]
 	}
 	to.Send(&message.StateSummary{Routes: c.version(), Complete: c.complete()})
--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -26,7 +26,7 @@
 	}
 	c.logger.Info().Str("server", string(m.server)).Time("started", m.started).Msg("backend server announced that it is leaving")
 	c.publishServers(ctx)
-	one := encodeDepartures([]registry.Departure{{ID: m.server, Started: m.started, Announced: true}})
+	one := encodeDepartures(now, []registry.Departure{{ID: m.server, Started: m.started, Announced: true, At: now}})
 	for _, l := range c.linkPerPeer() {
 		l.Send(one)
 	}
@@ -34,15 +34,15 @@
 
 // learnDepartures applies the departures that another entry knows.
 func (c *control) learnDepartures(ctx context.Context, now time.Time, m *message.ServerDepartures) {
-	if c.registry.Learn(now, decodeDepartures(m)) {
+	if c.registry.Learn(now, decodeDepartures(now, m)) {
 		c.publishServers(ctx)
 	}
 }
 
-func encodeDepartures(list []registry.Departure) *message.ServerDepartures {
+func encodeDepartures(now time.Time, list []registry.Departure) *message.ServerDepartures {
 	m := new(message.ServerDepartures)
 	for _, d := range list {
-		one := message.ServerDeparture{Server: d.ID, Sequence: d.Sequence, Era: d.Era, Removed: d.Removed, Announced: d.Announced}
+		one := message.ServerDeparture{Server: d.ID, Sequence: d.Sequence, Era: d.Era, Removed: d.Removed, Announced: d.Announced, Age: now.Sub(d.At)}
 		if !d.Started.IsZero() {
 			one.StartedMS = d.Started.UnixMilli()
 		}
@@ -51,10 +51,10 @@
 	return m
 }
 
-func decodeDepartures(m *message.ServerDepartures) []registry.Departure {
+func decodeDepartures(now time.Time, m *message.ServerDepartures) []registry.Departure {
 	list := make([]registry.Departure, 0, len(m.Departures))
 	for _, one := range m.Departures {
-		d := registry.Departure{ID: one.Server, Sequence: one.Sequence, Era: one.Era, Removed: one.Removed, Announced: one.Announced}
+		d := registry.Departure{ID: one.Server, Sequence: one.Sequence, Era: one.Era, Removed: one.Removed, Announced: one.Announced, At: now.Add(-one.Age)}
 		if one.StartedMS != 0 {
 			d.Started = time.UnixMilli(one.StartedMS)
 		}
--- a/internal/message/hosted.go
+++ b/internal/message/hosted.go
@@ -86,6 +86,8 @@
 	Removed bool
 	// Announced reports whether the server itself said in an answer that it is leaving.
 	Announced bool
+	// Age is the time since the first entry learned of it.
+	Age time.Duration
 }
 
 // StateSummary ends what an entry tells another one when their link comes up.
