decide/registry: tell other entries that a restarted server is leaving

A departure of an earlier process under the same id hid the one of the present process, so an entry that starts from a copy was not told of it. TestLeavingOfARestartedServerIsTold failed before. One list entry is applied by a method of the registry now.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -108,16 +108,6 @@
 	Outdated []Server
 }
 
-// put applies one list entry.
-func (u *Update) put(now time.Time, r *Registry, s Server) {
-	if r.outdated(s) {
-		u.Outdated = append(u.Outdated, s)
-		r.doubt(now, s)
-		return
-	}
-	u.Changed = r.put(now, s) || u.Changed
-}
-
 // Replace applies a full read of the list. The era counts how often the list was restored
 // from a copy.
 func (r *Registry) Replace(now time.Time, era uint64, list []Server) (u Update) {
@@ -125,7 +115,7 @@
 	listed := make(map[ident.ServerID]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
-		u.put(now, r, s)
+		r.apply(now, s, &u)
 	}
 	for id := range r.unconfirmed {
 		if !listed[id] {
@@ -145,7 +135,7 @@
 	r.reached(now, era)
 	for _, c := range changes {
 		if c.Server != nil {
-			u.put(now, r, *c.Server)
+			r.apply(now, *c.Server, &u)
 			continue
 		}
 		u.Changed = r.remove(now, c.ID) || u.Changed
@@ -153,6 +143,16 @@
 	return u
 }
 
+// apply applies one list entry unless it is outdated.
+func (r *Registry) apply(now time.Time, s Server, u *Update) {
+	if r.outdated(s) {
+		u.Outdated = append(u.Outdated, s)
+		r.doubt(now, s)
+		return
+	}
+	u.Changed = r.put(now, s) || u.Changed
+}
+
 // outdated reports whether a newer list entry of the server, or its removal, is known.
 func (r *Registry) outdated(s Server) bool {
 	if known, exists := r.servers[s.ID]; exists {
@@ -170,7 +170,7 @@
 	switch {
 	case departed && !d.Removed && r.covers(d, s):
 		s.Leaving = true
-	case s.Leaving && !(exists && old.Leaving):
+	case s.Leaving && !(departed && !d.Removed && d.Started.Equal(s.Started)):
 		r.note(now, Departure{ID: s.ID, Started: s.Started, Sequence: s.Sequence, Era: r.era, At: now})
 	case !s.Leaving:
 		delete(r.departures, s.ID)
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -152,6 +152,17 @@
 	must.Eq(t, want, after.Servers())
 }
 
+// Guards against keeping from the other entries that a restarted server is leaving, because
+// its earlier process was.
+func TestLeavingOfARestartedServerIsTold(t *testing.T) {
+	first, second := server("a"), server("a")
+	first.Leaving, second.Leaving, second.Started = true, true, start.Add(time.Second)
+	r := registry.New()
+	r.Replace(start, 1, []registry.Server{first})
+	r.Apply(start, 1, []registry.Change{change(second)})
+	must.Eq(t, second.Started, r.Departures(start)[0].Started)
+}
+
 // Guards against departures that entries keep alive by telling each other of them.
 func TestDeparturesAreForgotten(t *testing.T) {
 	one, other := registry.New(), registry.New()
