gateway: entries that start together do not wait for each other

The wait of an entry that starts, up to 1 s, cost callers when all entries were killed at once: nobody could tell them anything, and they answered 503 for that time.

An entry now stops waiting when all entries of its settings have said that they are starting, too. If one that knows more is reached later, its routes are pulled at once. TestEntriesThatStartTogetherDoNotWaitForEachOther fails without it.

--- a/internal/gateway/catchup.go
+++ b/internal/gateway/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/chart"
@@ -51,13 +52,23 @@
 		to.Send(encodeDepartures(now, departures[:n]))
 		departures = departures[n:]
 	}
-	to.Send(&message.StateSummary{Routes: c.version(), Complete: c.complete()})
+	to.Send(&message.StateSummary{Routes: c.version(), Complete: c.complete(), Address: c.address})
 }
 
 // handleSummary handles the end of what another entry knows. An entry that does not serve
 // requests itself may know no more than the store.
 func (c *control) handleSummary(ctx context.Context, now time.Time, from *link.Link, m *message.StateSummary) {
-	if !m.Complete || c.catchUp.Done() {
+	if c.catchUp.Done() {
+		// The catch-up may have ended before this entry could be reached.
+		if m.Complete && m.Routes > c.version() {
+			c.behindSince = now.Add(-pullDelay)
+			c.pullRoutes(now, from, m.Routes)
+		}
+		return
+	}
+	if !m.Complete {
+		c.startingEntries[m.Address] = true
+		c.checkSeeds(ctx, now)
 		return
 	}
 	c.routesToCatchUp = max(c.routesToCatchUp, m.Routes)
@@ -68,6 +79,15 @@
 	c.checkCaughtUp(ctx, now)
 }
 
+// checkSeeds ends the catch-up if all entries of the settings are starting, too: when all
+// entries are restarted at once, none knows more than the store.
+func (c *control) checkSeeds(ctx context.Context, now time.Time) {
+	if slices.ContainsFunc(c.seeds, func(seed string) bool { return !c.startingEntries[seed] }) {
+		return
+	}
+	c.advanceCatchUp(ctx, now, func() { c.catchUp.Fire(now, "noneKnows") })
+}
+
 // checkCaughtUp ends the catch-up once the routes are as new as those of the other entry.
 func (c *control) checkCaughtUp(ctx context.Context, now time.Time) {
 	if c.routesToCatchUp == 0 || c.version() < c.routesToCatchUp {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -87,6 +87,8 @@
 	// slowServers are the slow servers that a group reported at slowServersAt.
 	slowServers   []message.ServerSlowdown
 	slowServersAt time.Time
+	// startingEntries holds the addresses of the entries that are starting, too.
+	startingEntries map[string]bool
 	// routesToCatchUp is the version of the routes that the catch-up waits for, zero while
 	// no other entry has told it.
 	routesToCatchUp ident.Revision
@@ -109,7 +111,8 @@
 func newControl(now time.Time, grace time.Duration) (*control, error) {
 	c := &control{
 		mailbox: task.NewMailbox[controlMessage](controlCapacity, task.Block), grace: grace,
-		registry: registry.New(), links: make(map[*link.Link]struct{}), dialers: make(map[string]context.CancelFunc),
+		startingEntries: make(map[string]bool),
+		registry:        registry.New(), links: make(map[*link.Link]struct{}), dialers: make(map[string]context.CancelFunc),
 	}
 	machine, err := chart.Bind(charts.Must("process"), chart.Binding[*control]{
 		Delays: map[string]func(*control) time.Duration{"grace": func(c *control) time.Duration { return c.grace }},
@@ -132,6 +135,7 @@
 	defer c.mailbox.Close()
 	defer c.notices.Close()
 	c.dialEntries(ctx)
+	c.checkSeeds(ctx, time.Now())
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
 	for !c.lifecycle.Done() {
--- a/internal/message/hosted.go
+++ b/internal/message/hosted.go
@@ -98,6 +98,8 @@
 	// Complete reports whether the sender serves requests, and thus knows what confirmed
 	// changes there are.
 	Complete bool
+	// Address is the host and port at which the sender accepts links.
+	Address string
 }
 
 // ServerSlowdown is the time that a backend server needs for some work, divided by the
