soak: runs at the same time do not share ports, also of one seed

Both runs used seed 1, and with it the same ports and request ids, so that requests of one reached the entries and servers of the other. Two runs of seed 1 started together by hand show the same (31 violations, or a port in use); each alone passes.

A run holds the first port of its range while it lasts, and another one takes the next range. Checks and seeds are as before.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -40,9 +40,9 @@
 	// takes the port of a process that is being restarted.
 	minPort = 10000
 	maxPort = 30000
-	// portsPerRun is above the number of ports of one run. Runs of different seeds at the
-	// same time use different ports: with shared ones, requests reached servers of another
-	// run while a server was down.
+	// portsPerRun is above the number of ports of one run. Runs at the same time use
+	// different ports: with shared ones, requests reached servers of another run while a
+	// server was down, or all the time if both had the same seed.
 	portsPerRun = 50
 )
 
@@ -115,6 +115,26 @@
 // is used up.
 type portAllocator struct{ next int }
 
+// reservePorts reserves portsPerRun ports until the end of the test, the same ones for a seed
+// unless another run has them. It returns how many ports lie between minPort and those that
+// may be allocated.
+func reservePorts(t *testing.T, seed uint64) int {
+	t.Helper()
+	const ranges = (maxPort - minPort) / portsPerRun
+	for n := range ranges {
+		first := (int(seed%ranges) + n) % ranges * portsPerRun
+		// The first port of the range is held as a lock.
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(minPort+first)))
+		if err != nil {
+			continue
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		return first + 1
+	}
+	t.Fatalf("all %d ranges of ports are in use", ranges)
+	return 0
+}
+
 // allocate returns a port that is free on all the hosts.
 func (p *portAllocator) allocate(t *testing.T, hosts ...string) string {
 	t.Helper()
@@ -150,7 +170,7 @@
 	c.engines = platformtest.NewEngineGroup(t, hosts, expertCount)
 	c.engines.RegisterEngines(c.store, "model")
 	c.publish(1)
-	ports := &portAllocator{next: int(seed % (maxPort - minPort) * portsPerRun)}
+	ports := &portAllocator{next: reservePorts(t, seed)}
 	for n := range serverCount {
 		c.addServer(n, ports)
 	}
