gateway, eventlog, decide/quarantine: log a fingerprint of each request

The logs could not tell whether the requests that crash a server are equal or only share a prompt part. request.sent, request.attempt-broken and request.refused now name the fingerprint of account, method, target and body, under a tag with a random key per process, so that the log gives no way to find a short body by trying. No decision uses it yet.

--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -252,7 +252,7 @@
 			}
 		})
 	})
-	c.log("request.sent", outcome.ReasonNone, fmt.Sprintf("attempt %d, %d ms left", a.Attempt, left.Milliseconds()))
+	c.log("request.sent", outcome.ReasonNone, fmt.Sprintf("attempt %d, %d ms left, fingerprint %s", a.Attempt, left.Milliseconds(), c.handler.tags.Of(c.fingerprint)))
 }
 
 // maySend returns a function that asks whether the current server still takes requests.
@@ -349,7 +349,8 @@
 
 func (c *clientRequest) failAttempt(now time.Time, reason outcome.Reason, detail string) {
 	c.serverFailed = true
-	c.log("request.attempt-broken", reason, fmt.Sprintf("%s; output begun %t, server crashed %t, shared prompt parts %v", detail, c.outputBegan, c.serverCrashed, c.meta.PromptParts))
+	c.log("request.attempt-broken", reason, fmt.Sprintf("%s; output begun %t, server crashed %t, fingerprint %s, shared prompt parts %v",
+		detail, c.outputBegan, c.serverCrashed, c.handler.tags.Of(c.fingerprint), c.meta.PromptParts))
 	c.step(now, request.Failed{Attempt: c.currentAttempt, Reason: reason})
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -44,8 +44,9 @@
 		// timeLeft is how long the client waits for the answer; zero if not given.
 		timeLeft time.Duration
 		// parts are the shared parts of the prompt.
-		parts []ident.PromptPart
-		reply chan<- admission
+		parts   []ident.PromptPart
+		content quarantine.Content
+		reply   chan<- admission
 	}
 	// choose asks for a backend server for one attempt.
 	choose struct {
@@ -139,9 +140,11 @@
 	route      *record.Route
 	service    ident.ServiceName
 	account    ident.ClientAccount
-	priority   int
-	version    ident.Revision
-	state      intake.State
+	// fingerprint is that of the whole request.
+	fingerprint ident.Fingerprint
+	priority    int
+	version     ident.Revision
+	state       intake.State
 	// server is the backend server for the first attempt. The request already counts
 	// towards its load.
 	server registry.Server
@@ -277,6 +280,7 @@
 		m.reply <- a
 		return
 	}
+	a.fingerprint = m.content.Fingerprint(a.account)
 	a.service = d.pickService(route)
 	d.budgetOf(a.service).Request(now)
 	d.service(a.service).Arrived(now)
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -83,12 +83,12 @@
 	})
 }
 
-func refusalDetail(a admission) string {
+func (h *clientHandler) refusalDetail(a admission) string {
 	if a.route == nil {
 		return fmt.Sprintf("status %d", a.status)
 	}
-	return fmt.Sprintf("status %d, route %s, priority %d, running %d, limit %d, usable %d, pass %d ms, retry after %d ms",
-		a.status, a.route.Name, a.priority, a.state.Running, a.state.Limit, a.state.Usable,
+	return fmt.Sprintf("status %d, route %s, fingerprint %s, priority %d, running %d, limit %d, usable %d, pass %d ms, retry after %d ms",
+		a.status, a.route.Name, h.tags.Of(a.fingerprint), a.priority, a.state.Running, a.state.Limit, a.state.Usable,
 		a.state.Gap.Milliseconds(), a.retryAfter.Milliseconds())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	server   *http.Server
 	links    link.Config
 	start    ident.Incarnation
+	tags     eventlog.Tags
 	// draining is closed when the process is asked to stop.
 	draining chan struct{}
 }
@@ -119,7 +120,7 @@
 func newProcess(ctx context.Context, o Options) (*process, error) {
 	now := time.Now()
 	p := &process{
-		options: o, metrics: newMetrics(), start: ident.NewIncarnation(now), draining: make(chan struct{}),
+		options: o, metrics: newMetrics(), start: ident.NewIncarnation(now), tags: eventlog.NewTags(), draining: make(chan struct{}),
 		group: task.NewGroup(context.WithoutCancel(ctx)), pool: upstream.NewPool(),
 	}
 	c, err := codec.New()
@@ -150,7 +151,7 @@
 	protocol := platform.Protocol{}
 	p.handler = &clientHandler{
 		dispatch: p.dispatch.mailbox, protocol: protocol, machines: machines,
-		events: p.options.Events, metrics: p.metrics, draining: p.draining,
+		events: p.options.Events, metrics: p.metrics, tags: p.tags, draining: p.draining,
 		transport: &upstream.Transport{Pool: p.pool, Protocol: protocol, Dial: upstream.Dial, OnConnect: p.metrics.opened.Inc},
 	}
 	p.server = &http.Server{Handler: p.handler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: clientIdleTimeout}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/anvilpoint/anvilpoint/internal/call"
+	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
@@ -37,6 +38,8 @@
 	machines  *request.Machines
 	events    *eventlog.Log
 	metrics   *metrics
+	// tags name the fingerprints of requests in the log.
+	tags eventlog.Tags
 	// draining is closed once the process is asked to stop.
 	draining <-chan struct{}
 }
@@ -64,7 +67,8 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	// The admission is awaited even if the client leaves, since it may hold a slot.
 	a, ok := task.Ask(detached(r), h.dispatch, func(reply chan<- admission) dispatchMessage {
-		m := admit{host: r.Host, path: path, timeLeft: meta.TimeLeft, parts: meta.PromptParts, reply: reply}
+		m := admit{host: r.Host, path: path, timeLeft: meta.TimeLeft, parts: meta.PromptParts, reply: reply,
+			content: quarantine.ContentOf(r.Method, r.RequestURI, body)}
 		if meta.Key != "" {
 			m.key, m.hasKey = record.KeyHash(sha256.Sum256([]byte(meta.Key))), true
 		}
@@ -105,7 +109,7 @@
 func (h *clientHandler) refuse(w http.ResponseWriter, meta call.Meta, a admission) {
 	e := eventlog.Event{
 		Name: "request.refused", Request: meta.ID, Account: a.account, Revision: a.version,
-		Reason: string(a.outcome.Reason), Detail: refusalDetail(a),
+		Reason: string(a.outcome.Reason), Detail: h.refusalDetail(a),
 	}
 	h.events.Emit(e)
 	h.metrics.ended.WithLabelValues(string(a.outcome.Kind), string(a.outcome.Reason)).Inc()
