decide/quarantine, gateway: keep the quarantines of all services in one set

What is kept from servers was decided in decide/quarantine, and which messages tell other processes of it in the gateway, so that no other front end could use it. Set holds the quarantines of all services and takes and returns the messages; the gateway passes them on.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -330,7 +330,7 @@
 		}
 		c.links[e.Link] = struct{}{}
 		e.Link.Send(&message.ProcessAddresses{Own: c.address, Addresses: c.entryAddresses})
-		c.sendCrashes(ctx, e.Link)
+		c.sendQuarantine(ctx, e.Link)
 		c.sendState(now, e.Link)
 	case link.Down:
 		delete(c.links, e.Link)
@@ -341,11 +341,10 @@
 	}
 }
 
-// sendCrashes tells an entry, which may have been restarted, of the crashes whose cause is
-// open.
-func (c *control) sendCrashes(ctx context.Context, to *link.Link) {
-	reports, _ := task.Ask(ctx, c.dispatch, func(reply chan<- []message.Message) dispatchMessage { return getCrashes{reply: reply} })
-	for _, m := range reports {
+// sendQuarantine tells an entry, which may have been restarted, what is known of crashes.
+func (c *control) sendQuarantine(ctx context.Context, to *link.Link) {
+	state, _ := task.Ask(ctx, c.dispatch, func(reply chan<- []message.Message) dispatchMessage { return getQuarantineState{reply: reply} })
+	for _, m := range state {
 		to.Send(m)
 	}
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -182,8 +182,8 @@
 	rates   map[ident.InstanceID][]message.AnnouncedRate
 	metrics *metrics
 	logger  zerolog.Logger
-	// quarantines hold the prompt parts that may crash the servers of each service.
-	quarantines map[ident.ServiceName]*quarantine.Quarantine
+	// quarantine holds the prompt parts that may crash servers.
+	quarantine *quarantine.Set
 	// notices are messages that the control task sends to all other entries.
 	notices *task.Mailbox[message.Message]
 	// waiting are the requests that wait for a slot, in the order in which they get one.
@@ -191,17 +191,18 @@
 }
 
 func newDispatch(domain ident.FailureDomain, random *rand.Rand, budget routing.WindowConfig, m *metrics) *dispatch {
-	return &dispatch{
+	d := &dispatch{
 		mailbox: task.NewMailbox[dispatchMessage](dispatchCapacity, task.Block),
 		domain:  domain, random: random, budget: budget, metrics: m,
 		services: make(map[ident.ServiceName]*intake.Service),
 		budgets:  make(map[ident.ServiceName]*routing.WindowBudget),
 		entries:  make(map[ident.InstanceID]time.Time),
 
-		rates:       make(map[ident.InstanceID][]message.AnnouncedRate),
-		quarantines: make(map[ident.ServiceName]*quarantine.Quarantine),
-		notices:     task.NewMailbox[message.Message](noticeCapacity, task.DropOldest),
+		rates:   make(map[ident.InstanceID][]message.AnnouncedRate),
+		notices: task.NewMailbox[message.Message](noticeCapacity, task.DropOldest),
 	}
+	d.initQuarantine()
+	return d
 }
 
 // run is the main loop of the task.
@@ -253,11 +254,11 @@
 	case getReport:
 		m.reply <- d.report(now)
 	case outputBegan:
-		d.recordOutput(now, m)
+		d.noteEvidence(d.quarantine.Output(now, m.service, m.parts))
 	case peerNotice:
-		d.handleNotice(now, m.message)
-	case getCrashes:
-		m.reply <- d.crashReports(now)
+		d.noteEvidence(d.quarantine.Handle(now, m.message))
+	case getQuarantineState:
+		m.reply <- d.quarantine.State(now)
 	}
 }
 
@@ -284,7 +285,7 @@
 	a.service = d.pickService(route)
 	d.budgetOf(a.service).Request(now)
 	d.service(a.service).Arrived(now)
-	if decision := d.quarantine(a.service).Check(now, m.parts); !decision.Send && !decision.Unsettled {
+	if decision := d.quarantine.Check(now, a.service, m.parts); !decision.Send && !decision.Unsettled {
 		m.reply <- d.refuseQuarantined(a, decision)
 		return
 	}
@@ -404,7 +405,7 @@
 	if m.crashed {
 		d.recordCrash(now, m)
 	} else {
-		d.quarantine(m.service).AttemptEnded(now, m.parts)
+		d.quarantine.AttemptEnded(now, m.service, m.parts)
 	}
 	if m.misdirected {
 		s.Drain(now, m.server)
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -109,13 +109,13 @@
 	kept := d.waiting[:0]
 	full := make(map[slotKey]intake.State)
 	for _, w := range d.waiting {
-		decision := d.quarantine(w.service).Check(now, w.parts)
+		decision := d.quarantine.Check(now, w.service, w.parts)
 		switch {
 		case !decision.Send && !decision.Unsettled:
 			w.reply <- d.refuseQuarantined(w.admission, decision)
 		case decision.Send && d.tryAdmit(now, w, full):
 			if decision.Trial != "" {
-				d.beginTrial(now, w.service, decision.Trial)
+				d.noteEvidence(d.quarantine.BeginTrial(now, w.service, decision.Trial))
 			}
 			w.waited = now.Sub(w.arrived)
 			w.reply <- w.admission
