--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -8,63 +8,68 @@
 )
 
 const (
-	// fullWeight is the weight of a crash that only one part explains, while a server was
-	// about to write an answer to it.
+	// fullWeight is the weight of a crash that only one trait of its kind explains.
 	fullWeight = 1.0
 	// sharedWeight is the weight of any other crash.
 	sharedWeight = 0.5
-	// explainedMargin is by how much more evidence there is against one part than against
+	// turnedWeight is the weight of a crash against a request that had been sound before. A
+	// read that callers repeat often is in flight at most crashes of another cause.
+	turnedWeight = 0.4
+	// explainedMargin is by how much more evidence there is against one trait than against
 	// another if it alone explains the crashes that they share.
 	explainedMargin = 1.0
 )
 
-// assess computes anew which parts are accused, and for how long each is held.
+// assess computes anew which traits are accused, and for how long each is held.
 func (q *Quarantine) assess(now time.Time) {
 	q.forget(now)
-	for _, c := range q.crashes {
+	open := make([][]Trait, len(q.crashes))
+	for n, c := range q.crashes {
 		c.noteProofs(&q.proofs)
+		open[n] = c.open(&q.proofs)
 	}
-	blamed := make([][]ident.PromptPart, len(q.crashes))
+	outages := q.countOutages(open)
+	blamed := make([][]Trait, len(q.crashes))
 	for n, c := range q.crashes {
-		blamed[n] = q.candidates(c)
+		blamed[n] = c.candidates(open[n], outages)
 	}
 	weights := q.weigh(blamed)
 	for n := range blamed {
 		blamed[n] = withoutExplained(blamed[n], weights)
 	}
 	weights = q.weigh(blamed)
-	for p, a := range q.accused {
-		if _, still := weights[p]; !still {
+	for t, a := range q.accused {
+		if _, still := weights[t]; !still {
 			a.lifecycle.Fire(now, "cleared")
-			delete(q.accused, p)
+			delete(q.accused, t)
 		}
 	}
-	for p, weight := range weights {
-		q.accuse(now, p, q.latestCrash(p, blamed).Add(holdTime(weight)))
+	for t, weight := range weights {
+		q.accuse(now, t, q.latestCrash(t, blamed).Add(holdTime(weight)))
 	}
 }
 
 // forget drops the crashes whose suspects are all shown to be sound, and those that are old
-// and blame no part.
+// and blame no trait.
 func (q *Quarantine) forget(now time.Time) {
 	q.crashes = slices.DeleteFunc(q.crashes, func(c *Crash) bool {
 		open := c.open(&q.proofs)
-		blames := slices.ContainsFunc(open, func(p ident.PromptPart) bool { return q.accused[p] != nil })
+		blames := slices.ContainsFunc(open, func(t Trait) bool { return q.accused[t] != nil })
 		age := now.Sub(c.At)
 		return len(open) == 0 || age > memoryTime || age > proofTime && !blames
 	})
 }
 
-// accuse holds the part until the time, unless it is held until then already.
-func (q *Quarantine) accuse(now time.Time, p ident.PromptPart, until time.Time) {
-	a := q.accused[p]
+// accuse holds the trait until the time, unless it is held until then already.
+func (q *Quarantine) accuse(now time.Time, t Trait, until time.Time) {
+	a := q.accused[t]
 	if a != nil && a.releaseAt.Equal(until) {
 		return
 	}
 	known := a != nil
 	if !known {
-		a = &accusedPart{part: p}
-		q.accused[p] = a
+		a = &accusedTrait{trait: t}
+		q.accused[t] = a
 	}
 	a.releaseAt, a.holdTime, a.ownTrial = until, max(until.Sub(now), 0), false
 	if known {
@@ -74,52 +79,66 @@
 	a.lifecycle = q.machine.New(now, a)
 }
 
-// names reports whether the part is one of a suspect.
-func (c *Crash) names(p ident.PromptPart) bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return slices.Contains(s.Parts, p) })
+// names reports whether the trait is one of a suspect.
+func (c *Crash) names(t Trait) bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.contain(t) })
+}
+
+// began reports whether a server was about to write an answer to one of the suspects.
+func (c *Crash) began() bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Began })
 }
 
-// open returns the parts of the suspects without those that are shown to be sound since.
+// open returns the traits of the suspects without those that are shown to be sound since.
 // If a server was about to write an answer, only that request is a suspect.
-func (c *Crash) open(known *proofs) []ident.PromptPart {
-	began := slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Began })
-	var parts []ident.PromptPart
+func (c *Crash) open(known *proofs) []Trait {
+	began := c.began()
+	var open []Trait
 	for _, s := range c.Suspects {
 		if began && !s.Began {
 			continue
 		}
-		for _, p := range s.Parts {
-			if !slices.Contains(parts, p) && !known.since(p, c.At.Add(proofLag)) {
-				parts = append(parts, p)
+		for _, t := range s.all() {
+			if !slices.Contains(open, t) && !known.since(t, c.At.Add(proofLag)) {
+				open = append(open, t)
 			}
 		}
 	}
-	return parts
+	return open
 }
 
-// noteProofs records which parts of the suspects were shown to be sound at any time.
+// noteProofs records which traits of the suspects were shown to be sound at any time.
 func (c *Crash) noteProofs(known *proofs) {
 	for _, s := range c.Suspects {
-		for _, p := range s.Parts {
-			if _, ok := known.latest(p); ok && !slices.Contains(c.proven, p) {
-				c.proven = append(c.proven, p)
+		for _, t := range s.all() {
+			if _, ok := known.latest(t); ok && !slices.Contains(c.proven, t) {
+				c.proven = append(c.proven, t)
 			}
 		}
 	}
 }
 
-// candidates returns the parts that may explain the crash: those that were never shown to
-// be sound, and if there are none, those that were suspects in two outages and were not
-// shown to be sound in between.
-func (q *Quarantine) candidates(c *Crash) []ident.PromptPart {
-	open := c.open(&q.proofs)
-	var unproven, repeated []ident.PromptPart
-	for _, p := range open {
-		if !slices.Contains(c.proven, p) {
-			unproven = append(unproven, p)
+// candidates returns the open traits that may explain the crash, of each kind.
+func (c *Crash) candidates(open []Trait, outages map[Trait]int) []Trait {
+	isWhole := func(t Trait) bool { return t.whole() }
+	isPart := func(t Trait) bool { return !t.whole() }
+	return append(c.candidatesOf(isPart, open, outages), c.candidatesOf(isWhole, open, outages)...)
+}
+
+// candidatesOf returns the open traits of one kind that were never shown to be sound, and if
+// there are none, those that were suspects in two outages and were not shown to be sound in
+// between.
+func (c *Crash) candidatesOf(kind func(Trait) bool, open []Trait, outages map[Trait]int) []Trait {
+	var unproven, repeated []Trait
+	for _, t := range open {
+		if !kind(t) {
+			continue
+		}
+		if !slices.Contains(c.proven, t) {
+			unproven = append(unproven, t)
 		}
-		if q.outages(p) > 1 {
-			repeated = append(repeated, p)
+		if outages[t] > 1 {
+			repeated = append(repeated, t)
 		}
 	}
 	if len(unproven) > 0 {
@@ -128,80 +147,139 @@
 	return repeated
 }
 
-// outages counts the outages in which the part was a suspect since it was last shown to be
-// sound. A request that crashes a second server counts as one more.
-func (q *Quarantine) outages(p ident.PromptPart) int {
-	count, latest := 0, 0
-	for _, c := range q.crashes {
-		if !slices.Contains(c.open(&q.proofs), p) {
+// countOutages counts the outages in which each trait was a suspect since it was last shown
+// to be sound. A request that crashes a second server counts as one more.
+func (q *Quarantine) countOutages(open [][]Trait) map[Trait]int {
+	counts, latest := make(map[Trait]int), make(map[Trait]int)
+	requests := make(distinctRequests)
+	for n, c := range q.crashes {
+		for _, t := range open[n] {
+			if !requests.add(c, t) {
+				continue
+			}
+			if c.outage != latest[t] {
+				counts[t]++
+				latest[t] = c.outage
+			}
+			if c.repeats(t) {
+				counts[t]++
+			}
+		}
+	}
+	return counts
+}
+
+// distinctRequests holds the requests that count against each part. A part is blamed once
+// for all crashes by one request, since the request as a whole explains them, too.
+type distinctRequests map[ident.PromptPart]map[ident.Fingerprint]bool
+
+// add reports whether the crash counts against the trait: each crash does against a whole
+// request, and one by a request that has not counted yet does against a part.
+func (d distinctRequests) add(c *Crash, t Trait) bool {
+	if t.whole() {
+		return true
+	}
+	began, news := c.began(), false
+	for _, s := range c.Suspects {
+		if began && !s.Began || !s.contain(t) {
 			continue
 		}
-		if c.outage != latest {
-			count, latest = count+1, c.outage
+		if s.Request == 0 || !d[t.Part][s.Request] {
+			news = true
 		}
-		if c.repeats(p) {
-			count++
+		if d[t.Part] == nil {
+			d[t.Part] = make(map[ident.Fingerprint]bool)
 		}
+		d[t.Part][s.Request] = true
 	}
-	return count
+	return news
 }
 
-// repeats reports whether the part is one of a request that had crashed a server before.
-func (c *Crash) repeats(p ident.PromptPart) bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Repeated && slices.Contains(s.Parts, p) })
+// repeats reports whether the trait is one of a request that had crashed a server before.
+func (c *Crash) repeats(t Trait) bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Repeated && s.contain(t) })
 }
 
-// weigh returns the evidence against each blamed part: the sum over the outages of the
+// weigh returns the evidence against each blamed trait: the sum over the outages of the
 // greatest weight of a crash.
-func (q *Quarantine) weigh(blamed [][]ident.PromptPart) map[ident.PromptPart]float64 {
+func (q *Quarantine) weigh(blamed [][]Trait) map[Trait]float64 {
 	type tally struct {
 		sum, weight float64
 		outage      int
 	}
-	tallies := make(map[ident.PromptPart]tally)
-	for n, parts := range blamed {
+	tallies := make(map[Trait]tally)
+	requests := make(distinctRequests)
+	for n, traits := range blamed {
 		c := q.crashes[n]
-		weight := sharedWeight
-		if len(parts) == 1 && slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Began }) {
-			weight = fullWeight
-		}
-		for _, p := range parts {
-			t := tallies[p]
-			if t.outage == c.outage {
-				t.weight = max(t.weight, weight)
+		for _, t := range traits {
+			if !requests.add(c, t) {
+				continue
+			}
+			weight := c.weight(t, traits)
+			y := tallies[t]
+			if y.outage == c.outage {
+				y.weight = max(y.weight, weight)
 			} else {
-				t = tally{sum: t.sum + t.weight, weight: weight, outage: c.outage}
+				y = tally{sum: y.sum + y.weight, weight: weight, outage: c.outage}
 			}
-			tallies[p] = t
+			tallies[t] = y
 		}
 	}
-	weights := make(map[ident.PromptPart]float64, len(tallies))
-	for p, t := range tallies {
-		weights[p] = t.sum + t.weight
+	weights := make(map[Trait]float64, len(tallies))
+	for t, y := range tallies {
+		weights[t] = y.sum + y.weight
 	}
 	return weights
 }
 
-// withoutExplained drops the parts against which there is much less evidence than against
-// another part of the same crash.
-func withoutExplained(parts []ident.PromptPart, weights map[ident.PromptPart]float64) []ident.PromptPart {
-	most := 0.0
-	for _, p := range parts {
-		most = max(most, weights[p])
+// weight returns the weight of the crash against one of the traits that may explain it. A
+// part needs a server that was about to write an answer, since a wrong suspicion keeps other
+// requests waiting; that of a whole request keeps only its repeats waiting.
+func (c *Crash) weight(t Trait, blamed []Trait) float64 {
+	alone := !slices.ContainsFunc(blamed, func(other Trait) bool { return other != t && other.whole() == t.whole() })
+	switch {
+	case !t.whole() && alone && c.began():
+		return fullWeight
+	case !t.whole():
+		return sharedWeight
+	case slices.Contains(c.proven, t) && !c.repeats(t):
+		return turnedWeight
+	case alone:
+		return fullWeight
+	default:
+		return sharedWeight
 	}
-	return slices.DeleteFunc(parts, func(p ident.PromptPart) bool { return weights[p]+explainedMargin <= most })
 }
 
-func (q *Quarantine) latestCrash(p ident.PromptPart, blamed [][]ident.PromptPart) (at time.Time) {
-	for n, parts := range blamed {
-		if slices.Contains(parts, p) && q.crashes[n].At.After(at) {
+// withoutExplained drops the traits against which there is much less evidence than against
+// another one of the same crash. A part does not explain a whole request away, since
+// requests with the part are kept back anyway.
+func withoutExplained(traits []Trait, weights map[Trait]float64) []Trait {
+	most, mostWhole := 0.0, 0.0
+	for _, t := range traits {
+		most = max(most, weights[t])
+		if t.whole() {
+			mostWhole = max(mostWhole, weights[t])
+		}
+	}
+	return slices.DeleteFunc(traits, func(t Trait) bool {
+		if t.whole() {
+			return weights[t]+explainedMargin <= mostWhole
+		}
+		return weights[t]+explainedMargin <= most
+	})
+}
+
+func (q *Quarantine) latestCrash(t Trait, blamed [][]Trait) (at time.Time) {
+	for n, traits := range blamed {
+		if slices.Contains(traits, t) && q.crashes[n].At.After(at) {
 			at = q.crashes[n].At
 		}
 	}
 	return at
 }
 
-// holdTime returns how long a part is held after the latest crash.
+// holdTime returns how long a trait is held after the latest crash.
 func holdTime(weight float64) time.Duration {
 	if weight < fullWeight {
 		return shortHold
--- a/internal/decide/quarantine/proofs.go
+++ b/internal/decide/quarantine/proofs.go
@@ -1,46 +1,42 @@
 package quarantine
 
-import (
-	"time"
-
-	"github.com/anvilpoint/anvilpoint/internal/ident"
-)
+import "time"
 
 const (
 	// proofTime is the minimum time for which a proof is remembered.
 	proofTime = time.Minute
-	// maxProofs is the number of parts at which older proofs are dropped earlier.
+	// maxProofs is the number of traits at which older proofs are dropped earlier.
 	maxProofs = 20_000
 )
 
-// proofs remembers when each part was last shown to be sound, for proofTime to twice that
+// proofs remembers when each trait was last shown to be sound, for proofTime to twice that
 // long. The maps replace each other in turn, so that dropping old proofs takes no search.
 type proofs struct {
-	recent, older map[ident.PromptPart]time.Time
+	recent, older map[Trait]time.Time
 	begun         time.Time
 }
 
-func (k *proofs) add(p ident.PromptPart, at time.Time) {
+func (k *proofs) add(t Trait, at time.Time) {
 	if k.recent == nil || at.Sub(k.begun) > proofTime || len(k.recent) >= maxProofs {
-		k.recent, k.older, k.begun = make(map[ident.PromptPart]time.Time), k.recent, at
+		k.recent, k.older, k.begun = make(map[Trait]time.Time), k.recent, at
 	}
-	if latest, known := k.latest(p); !known || at.After(latest) {
-		k.recent[p] = at
+	if latest, known := k.latest(t); !known || at.After(latest) {
+		k.recent[t] = at
 	}
 }
 
-// latest returns when the part was last shown to be sound. False means that no proof is
+// latest returns when the trait was last shown to be sound. False means that no proof is
 // remembered.
-func (k *proofs) latest(p ident.PromptPart) (time.Time, bool) {
-	at, ok := k.recent[p]
+func (k *proofs) latest(t Trait) (time.Time, bool) {
+	at, ok := k.recent[t]
 	if !ok {
-		at, ok = k.older[p]
+		at, ok = k.older[t]
 	}
 	return at, ok
 }
 
-// since reports whether the part was shown to be sound after the time.
-func (k *proofs) since(p ident.PromptPart, at time.Time) bool {
-	latest, ok := k.latest(p)
+// since reports whether the trait was shown to be sound after the time.
+func (k *proofs) since(t Trait, at time.Time) bool {
+	latest, ok := k.latest(t)
 	return ok && latest.After(at)
 }
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -1,12 +1,12 @@
-// Package quarantine decides which parts of prompts are kept from the model engines of a
-// service, because requests with such a part crash the engine that begins to write an
-// answer to them.
+// Package quarantine decides which requests are kept from the servers of a service, because
+// they have something in common with requests that crashed a server.
 //
-// The evidence is which requests had no output at an engine when it crashed. Their parts
-// are suspects, unless an output has shown that the part is sound. A suspect is held for a
-// time that grows with the evidence against it. Then one request is sent as a trial: an
-// output clears the part, another crash adds evidence. Entries tell each other of crashes,
-// proofs and trials, so that all of them learn from each.
+// What requests have in common is a trait: a part of their prompt, or the request as a
+// whole. The evidence is which requests had no output at a server when it crashed. Their
+// traits are suspects, unless an output has shown that the trait is sound. A suspect is held
+// for a time that grows with the evidence against it. Then one request is sent as a trial:
+// an output clears the trait, another crash adds evidence. Entries tell each other of
+// crashes, proofs and trials, so that all of them learn from each.
 package quarantine
 
 import (
@@ -19,24 +19,24 @@
 )
 
 const (
-	// shortHold is how long a part is held on evidence that other parts share, or that a
+	// shortHold is how long a trait is held on evidence that other traits share, or that a
 	// crash of another cause explains as well. It is about the time in which a group is
 	// back after a crash.
 	shortHold = 3 * time.Second
-	// longHold is how long a part is held that alone explains a crash. Each further crash
-	// multiplies it by holdFactor. A trial of a deadly part costs all callers of the group
-	// an outage, while few requests have a part that no output has shown to be sound.
+	// longHold is how long a trait is held that alone explains a crash. Each further crash
+	// multiplies it by holdFactor. A trial of a deadly trait costs all callers of the group
+	// an outage, while few requests have a trait that no output has shown to be sound.
 	longHold   = time.Minute
 	holdFactor = 4
 	maxHold    = 10 * time.Minute
-	// memoryTime is how long a crash counts against a part. It covers the crashes of
+	// memoryTime is how long a crash counts against a trait. It covers the crashes of
 	// several trials that are maxHold apart.
 	memoryTime = 4 * maxHold
 	// trialTimeout is how long a trial may take until the next one may begin.
 	trialTimeout = 1500 * time.Millisecond
 	// outageTime is the time within which crashes without any output in between count as one
 	// outage, and reports of a crash of one server as one crash. A group is down for longer
-	// after a crash, so that no part could be shown to be sound in between.
+	// after a crash, so that no trait could be shown to be sound in between.
 	outageTime = 2 * time.Second
 	// outputInTransit is how long after a crash output may arrive that was written before.
 	outputInTransit = 200 * time.Millisecond
@@ -52,8 +52,7 @@
 
 // Suspect is a request that had no output at a server when the server crashed.
 type Suspect struct {
-	// Parts are the shared parts of the request's prompt.
-	Parts []ident.PromptPart
+	Traits
 	// Began reports whether the head of the answer had arrived: the server was about to
 	// write the first output.
 	Began bool
@@ -66,36 +65,36 @@
 	Server   ident.ServerID
 	At       time.Time
 	Suspects []Suspect
-	// proven are the parts of suspects that were shown to be sound before the crash. They
+	// proven are the traits of suspects that were shown to be sound before the crash. They
 	// are kept here since proofs are forgotten earlier than crashes.
-	proven []ident.PromptPart
+	proven []Trait
 	// outage numbers the outage in which the server crashed.
 	outage int
 }
 
-// Transition is a change of the state of an accused part, for the log.
+// Transition is a change of the state of an accused trait, for the log.
 type Transition struct {
-	Part     ident.PromptPart
+	Trait    Trait
 	From, To string
-	// Hold is the time for which the part is held, if it is.
+	// Hold is the time for which the trait is held, if it is.
 	Hold time.Duration
 }
 
-// Quarantine holds the evidence about the prompt parts of one service. It is owned by one
+// Quarantine holds the evidence about the requests for one service. It is owned by one
 // task and not safe for concurrent use.
 type Quarantine struct {
-	machine *chart.Machine[*accusedPart]
+	machine *chart.Machine[*accusedTrait]
 	proofs  proofs
 	crashes []*Crash
-	accused map[ident.PromptPart]*accusedPart
+	accused map[Trait]*accusedTrait
 	// latestOutput is when a server last began to write an answer of this entry.
 	latestOutput time.Time
 }
 
-// accusedPart is a part that may have crashed a server.
-type accusedPart struct {
-	part      ident.PromptPart
-	lifecycle *chart.Lifecycle[*accusedPart]
+// accusedTrait is a trait that may have crashed a server.
+type accusedTrait struct {
+	trait     Trait
+	lifecycle *chart.Lifecycle[*accusedTrait]
 	// releaseAt is the end of the hold, holdTime its length from now on.
 	releaseAt time.Time
 	holdTime  time.Duration
@@ -104,17 +103,17 @@
 }
 
 // New returns a quarantine without evidence. Observe, if not nil, is called after each
-// transition of an accused part.
+// transition of an accused trait.
 func New(observe func(Transition)) *Quarantine {
-	q := &Quarantine{accused: make(map[ident.PromptPart]*accusedPart)}
-	q.machine = chart.MustBind(charts.Must("prompt-part"), chart.Binding[*accusedPart]{
-		Delays: map[string]func(*accusedPart) time.Duration{
-			"holdTime":     func(a *accusedPart) time.Duration { return a.holdTime },
-			"trialTimeout": func(*accusedPart) time.Duration { return trialTimeout },
+	q := &Quarantine{accused: make(map[Trait]*accusedTrait)}
+	q.machine = chart.MustBind(charts.Must("crash-trait"), chart.Binding[*accusedTrait]{
+		Delays: map[string]func(*accusedTrait) time.Duration{
+			"holdTime":     func(a *accusedTrait) time.Duration { return a.holdTime },
+			"trialTimeout": func(*accusedTrait) time.Duration { return trialTimeout },
 		},
-		Observe: func(a *accusedPart, t chart.Transition) {
+		Observe: func(a *accusedTrait, t chart.Transition) {
 			if observe != nil {
-				observe(Transition{Part: a.part, From: t.From, To: t.To, Hold: a.holdTime})
+				observe(Transition{Trait: a.trait, From: t.From, To: t.To, Hold: a.holdTime})
 			}
 		},
 	})
@@ -123,36 +122,39 @@
 
 // Decision says whether a request may be sent.
 type Decision struct {
-	// Send allows the request. Trial is then the accused part that it tries, if any.
+	// Send allows the request. Trial is then the accused trait that it tries, if any.
 	Send  bool
-	Trial ident.PromptPart
+	Trial Trait
 	// Wait is the time after which a refused request may come back.
 	Wait time.Duration
 	// Unsettled reports whether the evidence may be refuted within a few milliseconds.
 	Unsettled bool
 }
 
-// Check decides whether a request with these parts may be sent now. A request with
-// several accused parts is never a trial, since its crash would not tell them apart.
-func (q *Quarantine) Check(now time.Time, parts []ident.PromptPart) Decision {
+// Check decides whether a request with these traits may be sent now. A request with
+// several accused parts is no trial, since its crash would not tell them apart, unless the
+// whole request is accused: then it is a trial of that.
+func (q *Quarantine) Check(now time.Time, traits Traits) Decision {
 	d := Decision{Send: true}
 	if len(q.accused) == 0 {
 		return d
 	}
-	for _, p := range parts {
-		a := q.accused[p]
+	for _, t := range traits.all() {
+		a := q.accused[t]
 		if a == nil {
 			continue
 		}
 		a.lifecycle.Tick(now)
-		if d.Trial != "" || !d.Send || !a.lifecycle.In("ready") {
+		if d.Trial == (Trait{}) {
+			d.Trial = t
+		} else if !d.Trial.whole() {
 			d.Send = false
 		}
-		d.Trial = p
+		d.Send = d.Send && a.lifecycle.In("ready")
 		d.Wait = max(d.Wait, a.releaseAt.Sub(now))
 	}
 	if !d.Send {
-		d.Trial, d.Unsettled = "", q.unsettled(now)
+		d.Trial, d.Unsettled = Trait{}, q.unsettled(now)
 	}
 	return d
 }
@@ -161,17 +163,17 @@
 	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return now.Sub(c.At) < settleTime })
 }
 
-// BeginTrial records that this entry sends a request to try the part.
-func (q *Quarantine) BeginTrial(now time.Time, part ident.PromptPart) {
-	q.PeerTrial(now, part)
-	if a := q.accused[part]; a != nil {
+// BeginTrial records that this entry sends a request to try the trait.
+func (q *Quarantine) BeginTrial(now time.Time, t Trait) {
+	q.PeerTrial(now, t)
+	if a := q.accused[t]; a != nil {
 		a.ownTrial = a.lifecycle.In("trial")
 	}
 }
 
-// PeerTrial records that another entry sends a request to try the part.
-func (q *Quarantine) PeerTrial(now time.Time, part ident.PromptPart) {
-	a := q.accused[part]
+// PeerTrial records that another entry sends a request to try the trait.
+func (q *Quarantine) PeerTrial(now time.Time, t Trait) {
+	a := q.accused[t]
 	if a == nil {
 		return
 	}
@@ -183,32 +185,32 @@
 	a.lifecycle.Fire(now, "trialBegun")
 }
 
-// AttemptEnded ends the trial of this entry's request with these parts, if it was one.
-func (q *Quarantine) AttemptEnded(now time.Time, parts []ident.PromptPart) {
-	for _, p := range parts {
-		if a := q.accused[p]; a != nil && a.ownTrial {
+// AttemptEnded ends the trial of this entry's request with these traits, if it was one.
+func (q *Quarantine) AttemptEnded(now time.Time, traits Traits) {
+	for _, t := range traits.all() {
+		if a := q.accused[t]; a != nil && a.ownTrial {
 			a.ownTrial = false
 			a.lifecycle.Fire(now, "trialEnded")
 		}
 	}
 }
 
-// Proof says that a server wrote an output to a request with the part.
+// Proof says that a server wrote an output to a request with the trait.
 type Proof struct {
-	Part ident.PromptPart
-	At   time.Time
+	Trait Trait
+	At    time.Time
 }
 
 // Output records that a server has begun to write an answer to a request with these
-// parts. It returns the proofs that matter to other entries.
-func (q *Quarantine) Output(now time.Time, parts []ident.PromptPart) []Proof {
+// traits. It returns the proofs that matter to other entries.
+func (q *Quarantine) Output(now time.Time, traits Traits) []Proof {
 	q.latestOutput = now
 	var news []Proof
-	for _, p := range parts {
-		if q.suspected(p) {
-			news = append(news, Proof{Part: p, At: now})
+	for _, t := range traits.all() {
+		if q.suspected(t) {
+			news = append(news, Proof{Trait: t, At: now})
 		}
-		q.proofs.add(p, now)
+		q.proofs.add(t, now)
 	}
 	if len(news) > 0 {
 		q.assess(now)
@@ -219,28 +221,28 @@
 // AddProofs records the proofs of another entry.
 func (q *Quarantine) AddProofs(now time.Time, proofs []Proof) {
 	for _, p := range proofs {
-		q.proofs.add(p.Part, p.At)
+		q.proofs.add(p.Trait, p.At)
 	}
 	q.assess(now)
 }
 
-// suspected reports whether a crash is remembered to which the part may be the key, and no
+// suspected reports whether a crash is remembered to which the trait may be the key, and no
 // output since has shown that it is sound.
-func (q *Quarantine) suspected(p ident.PromptPart) bool {
-	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.names(p) && !q.proofs.since(p, c.At.Add(proofLag)) })
+func (q *Quarantine) suspected(t Trait) bool {
+	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.names(t) && !q.proofs.since(t, c.At.Add(proofLag)) })
 }
 
 // AddCrash records a crash that this entry or another one reports. It returns this entry's
-// proofs about the parts of the suspects.
+// proofs about the traits of the suspects.
 func (q *Quarantine) AddCrash(now time.Time, c Crash) []Proof {
 	q.merge(c)
 	q.assess(now)
 	var known []Proof
 	for _, s := range c.Suspects {
-		for _, p := range s.Parts {
-			at, ok := q.proofs.latest(p)
-			if ok && !slices.ContainsFunc(known, func(other Proof) bool { return other.Part == p }) {
-				known = append(known, Proof{Part: p, At: at})
+		for _, t := range s.all() {
+			at, ok := q.proofs.latest(t)
+			if ok && !slices.ContainsFunc(known, func(other Proof) bool { return other.Trait == t }) {
+				known = append(known, Proof{Trait: t, At: at})
 			}
 		}
 	}
@@ -287,7 +289,7 @@
 }
 
 func (s Suspect) equal(other Suspect) bool {
-	return s.Began == other.Began && s.Repeated == other.Repeated && slices.Equal(s.Parts, other.Parts)
+	return s.Began == other.Began && s.Repeated == other.Repeated && s.Traits.equal(other.Traits)
 }
 
 // Crashes returns the crashes whose cause is open, for an entry that knows none.
@@ -299,5 +301,12 @@
 	return open
 }
 
-// Accused returns the number of parts under suspicion.
-func (q *Quarantine) Accused() int { return len(q.accused) }
+// Accused returns the numbers of prompt parts and of whole requests under suspicion.
+func (q *Quarantine) Accused() (parts, requests int) {
+	for t := range q.accused {
+		if t.whole() {
+			requests++
+		}
+	}
+	return len(q.accused) - requests, requests
+}
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -10,17 +10,19 @@
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 )
 
-type parts = []ident.PromptPart
+func parts(p ...ident.PromptPart) quarantine.Traits { return quarantine.Traits{Parts: p} }
 
 var start = time.Unix(1000, 0)
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 func suspect(p ...ident.PromptPart) quarantine.Suspect {
-	return quarantine.Suspect{Parts: p, Began: true}
+	return quarantine.Suspect{Traits: quarantine.Traits{Parts: p}, Began: true}
 }
 
-func waiting(p ...ident.PromptPart) quarantine.Suspect { return quarantine.Suspect{Parts: p} }
+func waiting(p ...ident.PromptPart) quarantine.Suspect {
+	return quarantine.Suspect{Traits: quarantine.Traits{Parts: p}}
+}
 
 func crash(server ident.ServerID, d time.Duration, suspects ...quarantine.Suspect) quarantine.Crash {
 	return quarantine.Crash{Server: server, At: at(d), Suspects: suspects}
@@ -31,18 +33,18 @@
 }
 
 func allowed(q *quarantine.Quarantine, d time.Duration, p ...ident.PromptPart) bool {
-	return q.Check(at(d), p).Send
+	return q.Check(at(d), parts(p...)).Send
 }
 
 // Guards against a second crash by the same part: one crash that only this part explains
 // must suffice.
 func TestPartThatAloneExplainsACrashIsHeldAfterOneCrash(t *testing.T) {
 	q := quarantine.New(nil)
-	q.Output(at(0), parts{"first"})
+	q.Output(at(0), parts("first"))
 	crashed(q, "s1", time.Second, suspect("first", "deadly"))
 	must.False(t, allowed(q, 50*time.Second, "first", "deadly"))
 	must.True(t, allowed(q, time.Second, "first"))
-	must.Positive(t, q.Check(at(2*time.Second), parts{"deadly"}).Wait)
+	must.Positive(t, q.Check(at(2*time.Second), parts("deadly")).Wait)
 }
 
 // Guards against accusing the first part, which sound requests share, when no output has
@@ -52,12 +54,12 @@
 	crashed(q, "s1", 0, suspect("first", "deadly"))
 	must.False(t, allowed(q, time.Second, "first"))
 	must.False(t, allowed(q, 5*time.Second, "first", "deadly"), must.Sprint("a request with two accused parts proves nothing"))
-	d := q.Check(at(5*time.Second), parts{"first"})
+	d := q.Check(at(5*time.Second), parts("first"))
 	must.True(t, d.Send)
-	must.Eq(t, "first", d.Trial)
-	q.BeginTrial(at(5*time.Second), "first")
+	must.Eq(t, quarantine.Trait{Part: "first"}, d.Trial)
+	q.BeginTrial(at(5*time.Second), quarantine.Trait{Part: "first"})
 	must.False(t, allowed(q, 5*time.Second, "first"), must.Sprint("one trial at a time"))
-	q.Output(at(5200*time.Millisecond), parts{"first"})
+	q.Output(at(5200*time.Millisecond), parts("first"))
 	must.True(t, allowed(q, 6*time.Second, "first"))
 	must.False(t, allowed(q, 50*time.Second, "first", "deadly"))
 }
@@ -77,18 +79,19 @@
 	q := quarantine.New(nil)
 	crashed(q, "s1", 0, waiting("new"))
 	must.False(t, allowed(q, time.Second, "new"))
-	must.Eq(t, "new", q.Check(at(4*time.Second), parts{"new"}).Trial)
-	q.BeginTrial(at(4*time.Second), "new")
-	q.Output(at(4100*time.Millisecond), parts{"new"})
+	must.Eq(t, quarantine.Trait{Part: "new"}, q.Check(at(4*time.Second), parts("new")).Trial)
+	q.BeginTrial(at(4*time.Second), quarantine.Trait{Part: "new"})
+	q.Output(at(4100*time.Millisecond), parts("new"))
 	must.True(t, allowed(q, 5*time.Second, "new"))
-	must.Zero(t, q.Accused())
+	accusedParts, _ := q.Accused()
+	must.Zero(t, accusedParts)
 }
 
 // Guards against accusing a much used part because several servers crash in one outage, in
 // which no output could show that it is sound.
 func TestManyCrashesInOneOutageDoNotAccuseAProvenPart(t *testing.T) {
 	q := quarantine.New(nil)
-	q.Output(at(0), parts{"hot"})
+	q.Output(at(0), parts("hot"))
 	for n, server := range []ident.ServerID{"s1", "s2", "s3"} {
 		crashed(q, server, time.Second+time.Duration(n)*100*time.Millisecond, suspect("hot"))
 	}
@@ -99,10 +102,10 @@
 // again, protected by old proofs.
 func TestPartThatTurnedDeadlyIsHeldAfterTwoOutages(t *testing.T) {
 	q := quarantine.New(nil)
-	q.Output(at(0), parts{"first", "turned"})
+	q.Output(at(0), parts("first", "turned"))
 	crashed(q, "s1", 10*time.Second, suspect("first", "turned"))
 	must.True(t, allowed(q, 11*time.Second, "turned"))
-	q.Output(at(15*time.Second), parts{"first"})
+	q.Output(at(15*time.Second), parts("first"))
 	crashed(q, "s2", 16*time.Second, suspect("first", "turned"))
 	must.True(t, allowed(q, 17*time.Second, "first"))
 	must.False(t, allowed(q, 60*time.Second, "turned"))
@@ -112,9 +115,9 @@
 // seconds, because servers that do not form a group count as one outage.
 func TestCrashesOfIndependentServersAreSeparateOutages(t *testing.T) {
 	q := quarantine.New(nil)
-	q.Output(at(0), parts{"first", "turned"})
+	q.Output(at(0), parts("first", "turned"))
 	crashed(q, "s1", time.Second, waiting("first", "turned"))
-	q.Output(at(1500*time.Millisecond), parts{"first"})
+	q.Output(at(1500*time.Millisecond), parts("first"))
 	crashed(q, "s2", 1600*time.Millisecond, waiting("first", "turned"))
 	must.True(t, allowed(q, 1700*time.Millisecond, "first"))
 	must.False(t, allowed(q, 1700*time.Millisecond, "turned"))
@@ -124,10 +127,10 @@
 // crashed two servers in a row.
 func TestRequestThatCrashesTwoServersIsEnoughEvidence(t *testing.T) {
 	q := quarantine.New(nil)
-	q.Output(at(0), parts{"turned"})
+	q.Output(at(0), parts("turned"))
 	crashed(q, "s1", time.Second, waiting("turned"))
 	must.True(t, allowed(q, time.Second, "turned"))
-	crashed(q, "s2", 1010*time.Millisecond, quarantine.Suspect{Parts: parts{"turned"}, Repeated: true})
+	crashed(q, "s2", 1010*time.Millisecond, quarantine.Suspect{Traits: parts("turned"), Repeated: true})
 	must.False(t, allowed(q, 1020*time.Millisecond, "turned"))
 }
 
@@ -136,7 +139,7 @@
 func TestProofThatWasOnItsWayDuringTheCrashDoesNotClear(t *testing.T) {
 	q := quarantine.New(nil)
 	crashed(q, "s1", time.Second, suspect("deadly"))
-	q.AddProofs(at(1100*time.Millisecond), []quarantine.Proof{{Part: "deadly", At: at(1050 * time.Millisecond)}})
+	q.AddProofs(at(1100*time.Millisecond), []quarantine.Proof{{Trait: quarantine.Trait{Part: "deadly"}, At: at(1050 * time.Millisecond)}})
 	crashed(q, "s2", 4*time.Second, suspect("deadly"))
 	must.False(t, allowed(q, 5*time.Second, "deadly"))
 }
@@ -145,10 +148,10 @@
 // one outage for ever.
 func TestFrequentCrashesOfIndependentServersAreSeparateOutages(t *testing.T) {
 	q := quarantine.New(nil)
-	q.Output(at(0), parts{"first", "turned"})
+	q.Output(at(0), parts("first", "turned"))
 	for n := range 4 {
 		now := time.Second + time.Duration(n)*100*time.Millisecond
-		q.Output(at(now-50*time.Millisecond), parts{"first"})
+		q.Output(at(now-50*time.Millisecond), parts("first"))
 		crashed(q, ident.ServerID(rune('a'+n)), now, waiting("first", "turned"))
 	}
 	must.False(t, allowed(q, 1400*time.Millisecond, "turned"))
@@ -158,11 +161,11 @@
 // entry which has it does not pass on.
 func TestProofOfAnotherEntryClearsAPart(t *testing.T) {
 	reporter, other := quarantine.New(nil), quarantine.New(nil)
-	other.Output(at(0), parts{"p"})
+	other.Output(at(0), parts("p"))
 	c := crash("s1", time.Second, suspect("p"))
 	reporter.AddCrash(at(time.Second), c)
 	must.False(t, allowed(reporter, time.Second, "p"))
-	must.True(t, reporter.Check(at(time.Second), parts{"p"}).Unsettled)
+	must.True(t, reporter.Check(at(time.Second), parts("p")).Unsettled)
 	proofs := other.AddCrash(at(time.Second), c)
 	must.SliceLen(t, 1, proofs)
 	must.True(t, allowed(other, time.Second, "p"))
@@ -173,17 +176,17 @@
 // Guards against an entry that passes on an output only long after others accused the part.
 func TestOutputOfASuspectedPartIsNews(t *testing.T) {
 	q := quarantine.New(nil)
-	must.SliceEmpty(t, q.Output(at(0), parts{"p"}))
+	must.SliceEmpty(t, q.Output(at(0), parts("p")))
 	crashed(q, "s1", time.Second, suspect("p"))
-	must.SliceLen(t, 1, q.Output(at(2*time.Second), parts{"p"}))
-	must.SliceEmpty(t, q.Output(at(3*time.Second), parts{"p"}))
+	must.SliceLen(t, 1, q.Output(at(2*time.Second), parts("p")))
+	must.SliceEmpty(t, q.Output(at(3*time.Second), parts("p")))
 }
 
 // Guards against trials of all entries at once, each of which may crash a server.
 func TestTrialOfAnotherEntryExcludesOwn(t *testing.T) {
 	q := quarantine.New(nil)
 	crashed(q, "s1", 0, waiting("p"))
-	q.PeerTrial(at(2900*time.Millisecond), "p")
+	q.PeerTrial(at(2900*time.Millisecond), quarantine.Trait{Part: "p"})
 	must.False(t, allowed(q, 3100*time.Millisecond, "p"))
 	must.True(t, allowed(q, 5*time.Second, "p"), must.Sprint("a trial without a result does not block the part for ever"))
 }
@@ -192,8 +195,8 @@
 func TestTrialWithoutResultIsFollowedByTheNext(t *testing.T) {
 	q := quarantine.New(nil)
 	crashed(q, "s1", 0, waiting("p"))
-	q.BeginTrial(at(4*time.Second), "p")
-	q.AttemptEnded(at(4010*time.Millisecond), parts{"p"})
+	q.BeginTrial(at(4*time.Second), quarantine.Trait{Part: "p"})
+	q.AttemptEnded(at(4010*time.Millisecond), parts("p"))
 	must.True(t, allowed(q, 4020*time.Millisecond, "p"))
 }
 
@@ -204,12 +207,12 @@
 	now, previous := time.Duration(0), time.Duration(0)
 	for n := range 8 {
 		crashed(q, ident.ServerID(rune('a'+n)), now, suspect("deadly"))
-		wait := q.Check(at(now), parts{"deadly"}).Wait
+		wait := q.Check(at(now), parts("deadly")).Wait
 		must.GreaterEq(t, previous, wait)
 		must.LessEq(t, 10*time.Minute, wait)
 		now, previous = now+wait, wait
-		must.Eq(t, "deadly", q.Check(at(now), parts{"deadly"}).Trial, must.Sprintf("trial %d", n))
-		q.BeginTrial(at(now), "deadly")
+		must.Eq(t, quarantine.Trait{Part: "deadly"}, q.Check(at(now), parts("deadly")).Trial, must.Sprintf("trial %d", n))
+		q.BeginTrial(at(now), quarantine.Trait{Part: "deadly"})
 	}
 	must.Eq(t, 10*time.Minute, previous)
 }
@@ -217,7 +220,7 @@
 // Guards against two deadly parts of which one hides behind the other.
 func TestTwoDeadlyPartsAreBothHeld(t *testing.T) {
 	q := quarantine.New(nil)
-	q.Output(at(0), parts{"first"})
+	q.Output(at(0), parts("first"))
 	crashed(q, "s1", time.Second, suspect("first", "deadly-1"))
 	crashed(q, "s2", time.Second, suspect("first", "deadly-2"))
 	must.False(t, allowed(q, 10*time.Second, "first", "deadly-1"))
@@ -230,7 +233,7 @@
 func TestCrashOfATrialClearsTheOtherSuspects(t *testing.T) {
 	q := quarantine.New(nil)
 	crashed(q, "s1", 0, suspect("a", "b"))
-	q.BeginTrial(at(4*time.Second), "a")
+	q.BeginTrial(at(4*time.Second), quarantine.Trait{Part: "a"})
 	crashed(q, "s2", 4100*time.Millisecond, suspect("a"))
 	must.False(t, allowed(q, 30*time.Second, "a"))
 	must.True(t, allowed(q, 5*time.Second, "b"))
@@ -240,10 +243,10 @@
 // is forgotten.
 func TestOldCrashDoesNotAccuseWhenProofsAreForgotten(t *testing.T) {
 	q := quarantine.New(nil)
-	q.Output(at(0), parts{"quiet", "sound"})
+	q.Output(at(0), parts("quiet", "sound"))
 	crashed(q, "s1", time.Second, suspect("quiet"))
 	for n := range 300 {
-		q.Output(at(time.Duration(n)*time.Second), parts{"sound"})
+		q.Output(at(time.Duration(n)*time.Second), parts("sound"))
 	}
 	crashed(q, "s2", 301*time.Second, suspect("sound"))
 	must.True(t, allowed(q, 302*time.Second, "quiet"))
--- a/internal/decide/quarantine/random_test.go
+++ b/internal/decide/quarantine/random_test.go
@@ -52,9 +52,9 @@
 	poisoned := d.random.Float64() * 10
 	for d.now < dayLength {
 		d.now += time.Duration(d.random.ExpFloat64() * float64(meanInterval))
-		p := parts{ident.PromptPart(fmt.Sprint("first-", d.random.IntN(firstParts)*d.random.IntN(firstParts)/firstParts))}
+		p := parts(ident.PromptPart(fmt.Sprint("first-", d.random.IntN(firstParts)*d.random.IntN(firstParts)/firstParts)))
 		if d.now.Seconds() > poisoned && d.random.Float64() < 0.03 {
-			p = parts{"first-7", "deadly"}
+			p = parts("first-7", "deadly")
 		}
 		other := d.random.Float64() < 0.0005
 		d.request(p, other)
@@ -63,9 +63,9 @@
 
 // request sends a request at a random entry. Other is set if its server then crashes for
 // another reason.
-func (d *day) request(p parts, other bool) {
+func (d *day) request(p quarantine.Traits, other bool) {
 	q := d.entries[d.random.IntN(len(d.entries))]
-	watched := len(p) == 1 && p[0] == "first-7"
+	watched := len(p.Parts) == 1 && p.Parts[0] == "first-7"
 	decision := q.Check(at(d.now), p)
 	if d.now < d.downTo {
 		return
@@ -79,7 +79,7 @@
 	if watched {
 		d.served++
 	}
-	if decision.Trial != "" {
+	if decision.Trial != (quarantine.Trait{}) {
 		q.BeginTrial(at(d.now), decision.Trial)
 		for _, e := range d.entries {
 			if e != q {
@@ -87,7 +87,7 @@
 			}
 		}
 	}
-	deadly := len(p) == 2
+	deadly := len(p.Parts) == 2
 	if deadly || other {
 		d.crash(p, deadly)
 		return
@@ -95,13 +95,13 @@
 	d.share(q.Output(at(d.now), p))
 }
 
-func (d *day) crash(p parts, deadly bool) {
+func (d *day) crash(p quarantine.Traits, deadly bool) {
 	d.crashes++
 	if deadly {
 		d.deadlyCrashes++
 	}
 	d.downTo = d.now + outageLength
-	c := crash(ident.ServerID(fmt.Sprint("s", d.crashes)), d.now, quarantine.Suspect{Parts: p, Began: deadly})
+	c := crash(ident.ServerID(fmt.Sprint("s", d.crashes)), d.now, quarantine.Suspect{Traits: p, Began: deadly})
 	var proofs []quarantine.Proof
 	for _, e := range d.entries {
 		proofs = append(proofs, e.AddCrash(at(d.now), c)...)
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -16,7 +16,7 @@
 }
 
 // NewSet returns a set without evidence. Observe is called after each transition of an
-// accused part.
+// accused trait.
 func NewSet(observe func(ident.ServiceName, Transition)) *Set {
 	return &Set{byService: make(map[ident.ServiceName]*Quarantine), observe: observe}
 }
@@ -31,24 +31,24 @@
 }
 
 // Check decides whether a request for the service may be sent now.
-func (s *Set) Check(now time.Time, service ident.ServiceName, parts []ident.PromptPart) Decision {
-	return s.of(service).Check(now, parts)
+func (s *Set) Check(now time.Time, service ident.ServiceName, traits Traits) Decision {
+	return s.of(service).Check(now, traits)
 }
 
-// BeginTrial records that this process sends a request to try the part.
-func (s *Set) BeginTrial(now time.Time, service ident.ServiceName, part ident.PromptPart) []message.Message {
-	s.of(service).BeginTrial(now, part)
-	return []message.Message{&message.PartTrial{Service: service, Part: part}}
+// BeginTrial records that this process sends a request to try the trait.
+func (s *Set) BeginTrial(now time.Time, service ident.ServiceName, t Trait) []message.Message {
+	s.of(service).BeginTrial(now, t)
+	return []message.Message{&message.TraitTrial{Service: service, Part: t.Part, Request: t.Request}}
 }
 
 // Output records that a server has begun to write an answer to a request.
-func (s *Set) Output(now time.Time, service ident.ServiceName, parts []ident.PromptPart) []message.Message {
-	return proofMessages(now, service, s.of(service).Output(now, parts))
+func (s *Set) Output(now time.Time, service ident.ServiceName, traits Traits) []message.Message {
+	return proofMessages(now, service, s.of(service).Output(now, traits))
 }
 
 // AttemptEnded records the end of an attempt that did not crash its server.
-func (s *Set) AttemptEnded(now time.Time, service ident.ServiceName, parts []ident.PromptPart) {
-	s.of(service).AttemptEnded(now, parts)
+func (s *Set) AttemptEnded(now time.Time, service ident.ServiceName, traits Traits) {
+	s.of(service).AttemptEnded(now, traits)
 }
 
 // Crashed records that a server crashed before the first output of a request.
@@ -65,17 +65,19 @@
 	case *message.CrashReport:
 		c := Crash{Server: m.Server, At: now.Add(-m.Age)}
 		for _, one := range m.Suspects {
-			c.Suspects = append(c.Suspects, Suspect{Parts: one.Parts, Began: one.Began, Repeated: one.Repeated})
+			c.Suspects = append(c.Suspects, Suspect{
+				Traits: Traits{Request: one.Request, Parts: one.Parts}, Began: one.Began, Repeated: one.Repeated,
+			})
 		}
 		return proofMessages(now, m.Service, s.of(m.Service).AddCrash(now, c))
-	case *message.PartsProven:
+	case *message.TraitsProven:
 		var proofs []Proof
-		for _, p := range m.Parts {
-			proofs = append(proofs, Proof{Part: p.Part, At: now.Add(-p.Age)})
+		for _, p := range m.Traits {
+			proofs = append(proofs, Proof{Trait: Trait{Part: p.Part, Request: p.Request}, At: now.Add(-p.Age)})
 		}
 		s.of(m.Service).AddProofs(now, proofs)
-	case *message.PartTrial:
-		s.of(m.Service).PeerTrial(now, m.Part)
+	case *message.TraitTrial:
+		s.of(m.Service).PeerTrial(now, Trait{Part: m.Part, Request: m.Request})
 	}
 	return nil
 }
@@ -91,19 +93,20 @@
 	return state
 }
 
-// Accused returns the number of parts under suspicion over all services.
-func (s *Set) Accused() int {
-	accused := 0
+// Accused returns the numbers of prompt parts and of whole requests under suspicion over
+// all services.
+func (s *Set) Accused() (parts, requests int) {
 	for _, q := range s.byService {
-		accused += q.Accused()
+		p, r := q.Accused()
+		parts, requests = parts+p, requests+r
 	}
-	return accused
+	return parts, requests
 }
 
 func crashReport(now time.Time, service ident.ServiceName, c Crash) *message.CrashReport {
 	m := &message.CrashReport{Service: service, Server: c.Server, Age: now.Sub(c.At)}
 	for _, s := range c.Suspects {
-		m.Suspects = append(m.Suspects, message.CrashSuspect{Parts: s.Parts, Began: s.Began, Repeated: s.Repeated})
+		m.Suspects = append(m.Suspects, message.CrashSuspect{Parts: s.Parts, Began: s.Began, Repeated: s.Repeated, Request: s.Request})
 	}
 	return m
 }
@@ -112,9 +115,9 @@
 	if len(proofs) == 0 {
 		return nil
 	}
-	m := &message.PartsProven{Service: service}
+	m := &message.TraitsProven{Service: service}
 	for _, p := range proofs {
-		m.Parts = append(m.Parts, message.ProvenPart{Part: p.Part, Age: now.Sub(p.At)})
+		m.Traits = append(m.Traits, message.ProvenTrait{Part: p.Trait.Part, Age: now.Sub(p.At), Request: p.Trait.Request})
 	}
 	return []message.Message{m}
 }
--- a/internal/eventlog/tags_test.go
+++ b/internal/eventlog/tags_test.go
@@ -12,7 +12,7 @@
 // Guards against a log from which the content of a short request can be found by computing
 // the fingerprints of all candidates.
 func TestTagsDifferBetweenProcesses(t *testing.T) {
-	first, second := eventlog.NewTags(), eventlog.NewTags()
+	first, second := eventlog.NewRequestTags(), eventlog.NewRequestTags()
 	f, other := ident.Fingerprint(1), ident.Fingerprint(2)
 	must.Eq(t, first.Of(f), first.Of(f))
 	must.NotEq(t, first.Of(f), first.Of(other))
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -208,7 +208,7 @@
 	}
 	chosen, ok := task.Ask(detached(c.request), c.handler.dispatch, func(reply chan<- choice) dispatchMessage {
 		return choose{
-			service: c.service, tried: a.Excluded, retry: c.lifecycle.SentAttempts() > 0, parts: c.meta.PromptParts, reply: reply,
+			service: c.service, tried: a.Excluded, retry: c.lifecycle.SentAttempts() > 0, traits: c.traits, reply: reply,
 		}
 	})
 	if !ok {
@@ -252,7 +252,7 @@
 			}
 		})
 	})
-	c.log("request.sent", outcome.ReasonNone, fmt.Sprintf("attempt %d, %d ms left, fingerprint %s", a.Attempt, left.Milliseconds(), c.handler.tags.Of(c.fingerprint)))
+	c.log("request.sent", outcome.ReasonNone, fmt.Sprintf("attempt %d, %d ms left, fingerprint %s", a.Attempt, left.Milliseconds(), c.handler.requestTags.Of(c.traits.Request)))
 }
 
 // maySend returns a function that asks whether the current server still takes requests.
@@ -280,7 +280,7 @@
 func (c *clientRequest) endAttempt(a request.EndAttempt) {
 	c.handler.dispatch.Send(detached(c.request), attemptEnded{
 		service: c.service, server: a.Server, failed: c.serverFailed, misdirected: c.misdirected,
-		parts: c.meta.PromptParts, crashed: c.serverCrashed, answerBegan: c.answerBegan, crashedBefore: c.crashes > 1, answeredAt: c.answeredAt,
+		traits: c.traits, crashed: c.serverCrashed, answerBegan: c.answerBegan, crashedBefore: c.crashes > 1, answeredAt: c.answeredAt,
 	})
 	if c.serverFailed {
 		c.handler.metrics.broken.Inc()
@@ -350,7 +350,7 @@
 func (c *clientRequest) failAttempt(now time.Time, reason outcome.Reason, detail string) {
 	c.serverFailed = true
 	c.log("request.attempt-broken", reason, fmt.Sprintf("%s; output begun %t, server crashed %t, fingerprint %s, shared prompt parts %v",
-		detail, c.outputBegan, c.serverCrashed, c.handler.tags.Of(c.fingerprint), c.meta.PromptParts))
+		detail, c.outputBegan, c.serverCrashed, c.handler.requestTags.Of(c.traits.Request), c.meta.PromptParts))
 	c.step(now, request.Failed{Attempt: c.currentAttempt, Reason: reason})
 }
 
@@ -380,7 +380,7 @@
 // recordOutput reports the first output of the current attempt.
 func (c *clientRequest) recordOutput() {
 	if !c.outputBegan && len(c.meta.PromptParts) > 0 {
-		c.handler.dispatch.Send(detached(c.request), outputBegan{service: c.service, parts: c.meta.PromptParts})
+		c.handler.dispatch.Send(detached(c.request), outputBegan{service: c.service, traits: c.traits})
 	}
 	c.outputBegan = true
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
 	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
+	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
@@ -53,9 +54,9 @@
 		service ident.ServiceName
 		tried   []ident.ServerID
 		// retry reports whether the request has been sent to a server before.
-		retry bool
-		parts []ident.PromptPart
-		reply chan<- choice
+		retry  bool
+		traits quarantine.Traits
+		reply  chan<- choice
 	}
 	// attemptEnded reports the end of an attempt.
 	attemptEnded struct {
@@ -64,7 +65,7 @@
 		failed  bool
 		// misdirected reports whether the address now belongs to another server.
 		misdirected bool
-		parts       []ident.PromptPart
+		traits      quarantine.Traits
 		// crashed reports whether the server crashed before the first output, and
 		// answerBegan whether the head of the answer had arrived by then.
 		crashed, answerBegan bool
@@ -140,11 +141,11 @@
 	route      *record.Route
 	service    ident.ServiceName
 	account    ident.ClientAccount
-	// fingerprint is that of the whole request.
-	fingerprint ident.Fingerprint
-	priority    int
-	version     ident.Revision
-	state       intake.State
+	// traits are what the request may have in common with one that crashes servers.
+	traits   quarantine.Traits
+	priority int
+	version  ident.Revision
+	state    intake.State
 	// server is the backend server for the first attempt. The request already counts
 	// towards its load.
 	server registry.Server
@@ -182,7 +183,9 @@
 	rates   map[ident.InstanceID][]message.AnnouncedRate
 	metrics *metrics
 	logger  zerolog.Logger
-	// quarantine holds the prompt parts that may crash servers.
+	// requestTags name the fingerprints of requests in the log.
+	requestTags eventlog.RequestTags
+	// quarantine holds what may crash servers.
 	quarantine *quarantine.Set
 	// notices are messages that the control task sends to all other entries.
 	notices *task.Mailbox[message.Message]
@@ -254,7 +257,7 @@
 	case getReport:
 		m.reply <- d.report(now)
 	case outputBegan:
-		d.noteEvidence(d.quarantine.Output(now, m.service, m.parts))
+		d.noteEvidence(d.quarantine.Output(now, m.service, m.traits))
 	case peerNotice:
 		d.noteEvidence(d.quarantine.Handle(now, m.message))
 	case getQuarantineState:
@@ -281,21 +284,21 @@
 		m.reply <- a
 		return
 	}
-	a.fingerprint = m.content.Fingerprint(a.account)
+	a.traits = quarantine.Traits{Request: m.content.Fingerprint(a.account), Parts: m.parts}
 	a.service = d.pickService(route)
 	d.budgetOf(a.service).Request(now)
 	d.service(a.service).Arrived(now)
-	if decision := d.quarantine.Check(now, a.service, m.parts); !decision.Send && !decision.Unsettled {
+	if decision := d.quarantine.Check(now, a.service, a.traits); !decision.Send && !decision.Unsettled {
 		m.reply <- d.refuseQuarantined(a, decision)
 		return
 	}
 	d.enqueue(now, m, a)
 }
 
-// refuseQuarantined returns the refusal of a request whose prompt may crash a server.
+// refuseQuarantined returns the refusal of a request that may crash a server.
 func (d *dispatch) refuseQuarantined(a admission, decision quarantine.Decision) admission {
 	a.status, a.retryAfter = http.StatusServiceUnavailable, d.quarantineRetryAfter(decision)
-	a.outcome = outcome.DidNotRun(outcome.ReasonQuarantined, "a part of the prompt may crash the model engines")
+	a.outcome = outcome.DidNotRun(outcome.ReasonQuarantined, "the request may crash backend servers")
 	return a
 }
 
@@ -405,7 +408,7 @@
 	if m.crashed {
 		d.recordCrash(now, m)
 	} else {
-		d.quarantine.AttemptEnded(now, m.service, m.parts)
+		d.quarantine.AttemptEnded(now, m.service, m.traits)
 	}
 	if m.misdirected {
 		s.Drain(now, m.server)
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -88,7 +88,7 @@
 		return fmt.Sprintf("status %d", a.status)
 	}
 	return fmt.Sprintf("status %d, route %s, fingerprint %s, priority %d, running %d, limit %d, usable %d, pass %d ms, retry after %d ms",
-		a.status, a.route.Name, h.tags.Of(a.fingerprint), a.priority, a.state.Running, a.state.Limit, a.state.Usable,
+		a.status, a.route.Name, h.requestTags.Of(a.traits.Request), a.priority, a.state.Running, a.state.Limit, a.state.Usable,
 		a.state.Gap.Milliseconds(), a.retryAfter.Milliseconds())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,17 +57,17 @@
 
 // process holds the tasks and servers of one entry.
 type process struct {
-	options  Options
-	group    *task.Group
-	metrics  *metrics
-	control  *control
-	dispatch *dispatch
-	pool     *upstream.Pool
-	handler  *clientHandler
-	server   *http.Server
-	links    link.Config
-	start    ident.Incarnation
-	tags     eventlog.Tags
+	options     Options
+	group       *task.Group
+	metrics     *metrics
+	control     *control
+	dispatch    *dispatch
+	pool        *upstream.Pool
+	handler     *clientHandler
+	server      *http.Server
+	links       link.Config
+	start       ident.Incarnation
+	requestTags eventlog.RequestTags
 	// draining is closed when the process is asked to stop.
 	draining chan struct{}
 }
@@ -120,7 +120,7 @@
 func newProcess(ctx context.Context, o Options) (*process, error) {
 	now := time.Now()
 	p := &process{
-		options: o, metrics: newMetrics(), start: ident.NewIncarnation(now), tags: eventlog.NewTags(), draining: make(chan struct{}),
+		options: o, metrics: newMetrics(), start: ident.NewIncarnation(now), requestTags: eventlog.NewRequestTags(), draining: make(chan struct{}),
 		group: task.NewGroup(context.WithoutCancel(ctx)), pool: upstream.NewPool(),
 	}
 	c, err := codec.New()
@@ -136,7 +136,7 @@
 	p.dispatch = newDispatch(s.Domain, p.random(1), routing.WindowConfig{
 		Ratio: s.RetryRatio / 2, Slack: s.RetrySlack / 2, Window: s.RetryWindow,
 	}, p.metrics)
-	p.dispatch.logger = o.Logger
+	p.dispatch.logger, p.dispatch.requestTags = o.Logger, p.requestTags
 	if err := p.initHandler(); err != nil {
 		return nil, err
 	}
@@ -151,7 +151,7 @@
 	protocol := platform.Protocol{}
 	p.handler = &clientHandler{
 		dispatch: p.dispatch.mailbox, protocol: protocol, machines: machines,
-		events: p.options.Events, metrics: p.metrics, tags: p.tags, draining: p.draining,
+		events: p.options.Events, metrics: p.metrics, requestTags: p.requestTags, draining: p.draining,
 		transport: &upstream.Transport{Pool: p.pool, Protocol: protocol, Dial: upstream.Dial, OnConnect: p.metrics.opened.Inc},
 	}
 	p.server = &http.Server{Handler: p.handler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: clientIdleTimeout}
@@ -201,7 +201,7 @@
 	case message.KindHeartbeat:
 		return true
 	case message.KindEntryReport, message.KindProcessAddresses, message.KindRoutesPull, message.KindRoutesPush,
-		message.KindCrashReport, message.KindPartsProven, message.KindPartTrial, message.KindAnnouncedRates,
+		message.KindCrashReport, message.KindTraitsProven, message.KindTraitTrial, message.KindAnnouncedRates,
 		message.KindServerDepartures, message.KindStateSummary:
 		return role == message.RoleEntry
 	case message.KindSlowServers:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -153,7 +153,13 @@
 // prompt sends a request for a stream with the prompt parts.
 func (f *fixture) prompt(parts ...string) answer {
 	f.t.Helper()
-	r := f.request(http.MethodPost, "/streaming/x", key, "prompt")
+	return f.promptWithBody("prompt", parts...)
+}
+
+// promptWithBody is prompt with a body of its own.
+func (f *fixture) promptWithBody(body string, parts ...string) answer {
+	f.t.Helper()
+	r := f.request(http.MethodPost, "/streaming/x", key, body)
 	platformtest.SetPromptParts(r, parts...)
 	return f.send(r)
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -38,8 +38,8 @@
 	machines  *request.Machines
 	events    *eventlog.Log
 	metrics   *metrics
-	// tags name the fingerprints of requests in the log.
-	tags eventlog.Tags
+	// requestTags name the fingerprints of requests in the log.
+	requestTags eventlog.RequestTags
 	// draining is closed once the process is asked to stop.
 	draining <-chan struct{}
 }
@@ -90,7 +90,7 @@
 
 // freeSlot frees the slot of a request whose client left while it waited.
 func (h *clientHandler) freeSlot(meta call.Meta, a admission) {
-	h.dispatch.Send(context.Background(), attemptEnded{service: a.service, server: a.server.ID, parts: meta.PromptParts})
+	h.dispatch.Send(context.Background(), attemptEnded{service: a.service, server: a.server.ID, traits: a.traits})
 	h.events.Emit(eventlog.Event{
 		Name: "request.left", Request: meta.ID, Account: a.account, Revision: a.version,
 		Reason: string(outcome.ReasonCanceled), Detail: "the client left while the request waited for a slot",
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,7 +16,9 @@
 	version     prometheus.Gauge
 	crashes     prometheus.Counter
 	quarantined prometheus.Gauge
-	rateLimited prometheus.Gauge
+	// quarantinedRequests counts whole requests, quarantined prompt parts.
+	quarantinedRequests prometheus.Gauge
+	rateLimited         prometheus.Gauge
 	// servers counts the backend servers by state: ready or leaving.
 	servers *prometheus.GaugeVec
 	// storeRestores counts the restores of the store, once for each watch.
@@ -46,6 +48,8 @@
 			Name: "anvilpoint_backend_crashes_total", Help: "Attempts whose backend server crashed before the first output."}),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "anvilpoint_quarantined_prompt_parts", Help: "Prompt parts that are kept from the model engines."}),
+		quarantinedRequests: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "anvilpoint_quarantined_requests", Help: "Requests whose repeats are kept from the backend servers, or would be sent as a trial."}),
 		rateLimited: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "anvilpoint_rate_limited_servers", Help: "Backend servers that announce how many requests a second they take."}),
 		servers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -53,6 +57,6 @@
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "anvilpoint_store_restores_total", Help: "Restores of the platform's store from a copy, as each watch noticed them."}),
 	}
-	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined, m.rateLimited, m.servers, m.storeRestores)
+	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined, m.quarantinedRequests, m.rateLimited, m.servers, m.storeRestores)
 	return m
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -18,7 +18,7 @@
 	// outputBegan reports the first output to a request with shared prompt parts.
 	outputBegan struct {
 		service ident.ServiceName
-		parts   []ident.PromptPart
+		traits  quarantine.Traits
 	}
 	// peerNotice is a message of another entry's quarantine.
 	peerNotice struct{ message message.Message }
@@ -35,8 +35,13 @@
 // initQuarantine creates the quarantine of all services.
 func (d *dispatch) initQuarantine() {
 	d.quarantine = quarantine.NewSet(func(service ident.ServiceName, t quarantine.Transition) {
-		d.logger.Warn().Str("service", string(service)).Str("part", string(t.Part)).Str("from", t.From).Str("to", t.To).
-			Dur("hold", t.Hold).Msg("quarantine of a prompt part changed")
+		line := d.logger.Warn().Str("service", string(service))
+		if t.Trait.Request != 0 {
+			line = line.Str("fingerprint", d.requestTags.Of(t.Trait.Request))
+		} else {
+			line = line.Str("part", string(t.Trait.Part))
+		}
+		line.Str("from", t.From).Str("to", t.To).Dur("hold", t.Hold).Msg("quarantine changed")
 	})
 }
 
@@ -47,28 +52,30 @@
 		// The mailbox drops the oldest message if it is full, so Send does not wait.
 		d.notices.Send(context.Background(), m)
 	}
-	d.metrics.quarantined.Set(float64(d.quarantine.Accused()))
+	parts, requests := d.quarantine.Accused()
+	d.metrics.quarantined.Set(float64(parts))
+	d.metrics.quarantinedRequests.Set(float64(requests))
 }
 
 // recordCrash records that a server crashed before the first output of an attempt.
 func (d *dispatch) recordCrash(now time.Time, m attemptEnded) {
 	d.metrics.crashes.Inc()
 	d.noteEvidence(d.quarantine.Crashed(now, m.service, m.server, quarantine.Suspect{
-		Parts: m.parts, Began: m.answerBegan, Repeated: m.crashedBefore,
+		Traits: m.traits, Began: m.answerBegan, Repeated: m.crashedBefore,
 	}))
 }
 
 // mayRetry reports whether a further attempt may be sent, and if not, the choice to return.
 // A request that may have crashed a server is never a trial.
 func (d *dispatch) mayRetry(now time.Time, m choose) (choice, bool) {
-	decision := d.quarantine.Check(now, m.service, m.parts)
-	if decision.Send && decision.Trial == "" {
+	decision := d.quarantine.Check(now, m.service, m.traits)
+	if decision.Send && decision.Trial == (quarantine.Trait{}) {
 		return choice{}, true
 	}
 	return choice{reason: outcome.ReasonQuarantined, retryAfter: d.quarantineRetryAfter(decision), unsettled: decision.Unsettled}, false
 }
 
-// quarantineRetryAfter returns when a client may send a request with a held part again.
+// quarantineRetryAfter returns when a client may send a request that is held back again.
 func (d *dispatch) quarantineRetryAfter(decision quarantine.Decision) time.Duration {
 	return max(decision.Wait, 0) + d.retryAfter()
 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -47,6 +47,42 @@
 	must.Eq(t, 1, deadly)
 }
 
+// countBody returns how many requests with the body reached one of the replicas.
+func countBody(replicas []*platformtest.Replica, body string) int {
+	n := 0
+	for _, r := range replicas {
+		for _, one := range r.Received() {
+			if one.Body == body {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Guards against a request that crashes one backend server after the other because its
+// prompt parts are those of sound requests, and against a refusal of those.
+func TestRequestThatCrashedAServerIsNotSentAgain(t *testing.T) {
+	replicas := []*platformtest.Replica{platformtest.NewReplica(t, "i-1"), platformtest.NewReplica(t, "i-2"), platformtest.NewReplica(t, "i-3")}
+	for _, r := range replicas {
+		r.SetHandler(r.CrashOnBody("deadly"))
+	}
+	f := newFixture(t, replicas...)
+	peer := f.startPeer()
+	must.Eq(t, http.StatusOK, f.promptWithBody("sound-1", "first", "last").status)
+	must.Eq(t, http.StatusBadGateway, f.promptWithBody("deadly", "first", "last").status)
+
+	refused := f.promptWithBody("deadly", "first", "last")
+	must.Eq(t, http.StatusServiceUnavailable, refused.status)
+	must.NotEq(t, "", refused.header.Get("Retry-After"))
+	must.Eq(t, http.StatusOK, f.promptWithBody("sound-2", "first", "last").status)
+
+	peer.awaitMetric("the other entry knows of the request", "anvilpoint_quarantined_requests 1")
+	must.Eq(t, http.StatusServiceUnavailable, peer.promptWithBody("deadly", "first", "last").status)
+	must.Eq(t, http.StatusOK, peer.promptWithBody("sound-3", "first", "last").status)
+	must.Eq(t, 1, countBody(replicas, "deadly"))
+}
+
 // Guards against an entry that starts after the crash and crashes the next server.
 func TestEntryThatStartsLaterLearnsOfTheCrash(t *testing.T) {
 	replicas := []*platformtest.Replica{platformtest.NewReplica(t, "i-1"), platformtest.NewReplica(t, "i-2")}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/intake"
+	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 	"github.com/anvilpoint/anvilpoint/internal/record"
@@ -109,12 +110,12 @@
 	kept := d.waiting[:0]
 	full := make(map[slotKey]intake.State)
 	for _, w := range d.waiting {
-		decision := d.quarantine.Check(now, w.service, w.parts)
+		decision := d.quarantine.Check(now, w.service, w.traits)
 		switch {
 		case !decision.Send && !decision.Unsettled:
 			w.reply <- d.refuseQuarantined(w.admission, decision)
 		case decision.Send && d.tryAdmit(now, w, full):
-			if decision.Trial != "" {
+			if decision.Trial != (quarantine.Trait{}) {
 				d.noteEvidence(d.quarantine.BeginTrial(now, w.service, decision.Trial))
 			}
 			w.waited = now.Sub(w.arrived)
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -28,7 +28,7 @@
 
 // Fingerprint identifies the requests of one client account that have the same method, target
 // and body. Zero means that it is not known. It must not be logged as it is, since a short
-// body could be found by trying: see eventlog.Tags.
+// body could be found by trying: see eventlog.RequestTags.
 type Fingerprint uint64
 
 // ServiceName names a plain service.
--- a/internal/message/kinds.go
+++ b/internal/message/kinds.go
@@ -35,8 +35,8 @@
 func (*MapChange) kind() Kind        { return KindMapChange }
 func (*SlowServers) kind() Kind      { return KindSlowServers }
 func (*CrashReport) kind() Kind      { return KindCrashReport }
-func (*PartsProven) kind() Kind      { return KindPartsProven }
-func (*PartTrial) kind() Kind        { return KindPartTrial }
+func (*TraitsProven) kind() Kind     { return KindTraitsProven }
+func (*TraitTrial) kind() Kind       { return KindTraitTrial }
 func (*AnnouncedRates) kind() Kind   { return KindAnnouncedRates }
 func (*ServerDepartures) kind() Kind { return KindServerDepartures }
 func (*StateSummary) kind() Kind     { return KindStateSummary }
@@ -117,10 +117,10 @@
 		return new(SlowServers)
 	case KindCrashReport:
 		return new(CrashReport)
-	case KindPartsProven:
-		return new(PartsProven)
-	case KindPartTrial:
-		return new(PartTrial)
+	case KindTraitsProven:
+		return new(TraitsProven)
+	case KindTraitTrial:
+		return new(TraitTrial)
 	case KindAnnouncedRates:
 		return new(AnnouncedRates)
 	case KindServerDepartures:
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -72,8 +72,8 @@
 	KindMapChange
 	KindSlowServers
 	KindCrashReport
-	KindPartsProven
-	KindPartTrial
+	KindTraitsProven
+	KindTraitTrial
 	KindAnnouncedRates
 	KindServerDepartures
 	KindStateSummary
--- a/internal/message/quarantine.go
+++ b/internal/message/quarantine.go
@@ -26,28 +26,34 @@
 	Began bool
 	// Repeated reports whether the request had crashed another server before.
 	Repeated bool
+	// Request is the fingerprint of the whole request.
+	Request ident.Fingerprint
 }
 
-// PartsProven tells the other entries which prompt parts did not crash the backend server
-// that wrote an output to a request with them.
-type PartsProven struct {
+// TraitsProven tells the other entries which traits of requests did not crash the backend
+// server that wrote an output to a request with them.
+type TraitsProven struct {
 	_       struct{} `cbor:",toarray"`
 	Service ident.ServiceName
-	Parts   []ProvenPart
+	Traits  []ProvenTrait
 }
 
-// ProvenPart is a prompt part that was shown to be sound.
-type ProvenPart struct {
+// ProvenTrait is a prompt part or a whole request that was shown to be sound.
+type ProvenTrait struct {
 	_    struct{} `cbor:",toarray"`
 	Part ident.PromptPart
 	// Age is the time since the output.
 	Age time.Duration
+	// Request is the fingerprint of the whole request, zero for a part.
+	Request ident.Fingerprint
 }
 
-// PartTrial tells the other entries that the sender sends one request to find out whether
-// the prompt part crashes a backend server.
-type PartTrial struct {
+// TraitTrial tells the other entries that the sender sends one request to find out whether
+// a trait of it crashes a backend server.
+type TraitTrial struct {
 	_       struct{} `cbor:",toarray"`
 	Service ident.ServiceName
 	Part    ident.PromptPart
+	// Request is the fingerprint of the whole request, zero for a part.
+	Request ident.Fingerprint
 }
