--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -15,7 +15,7 @@
 const noticeCapacity = 256
 
 type (
-	// outputBegan reports the first output to a request with shared prompt parts.
+	// outputBegan reports the first output to a request.
 	outputBegan struct {
 		service ident.ServiceName
 		traits  quarantine.Traits
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -83,6 +83,33 @@
 	must.Eq(t, 1, countBody(replicas, "deadly"))
 }
 
+// Guards against a read that takes down all servers of a plain service one after the other:
+// its entry sends it on, and its caller sends it to another entry.
+func TestReadThatCrashedAPlainServerIsNotSentAgain(t *testing.T) {
+	replicas := []*platformtest.Replica{platformtest.NewReplica(t, "i-1"), platformtest.NewReplica(t, "i-2"), platformtest.NewReplica(t, "i-3")}
+	for _, r := range replicas {
+		r.SetHandler(r.CrashOnTarget("/safe/deadly"))
+	}
+	f := newFixture(t, replicas...)
+	peer := f.startPeer()
+	must.Eq(t, http.StatusBadGateway, f.call(http.MethodGet, "/safe/deadly", key, "").status)
+	must.Eq(t, http.StatusServiceUnavailable, f.call(http.MethodGet, "/safe/deadly", key, "").status)
+	must.Eq(t, http.StatusOK, f.call(http.MethodGet, "/safe/sound", key, "").status)
+
+	peer.awaitMetric("the other entry knows of the request", "anvilpoint_quarantined_requests 1")
+	must.Eq(t, http.StatusServiceUnavailable, peer.call(http.MethodGet, "/safe/deadly", key, "").status)
+	must.Eq(t, http.StatusOK, peer.call(http.MethodGet, "/safe/sound", key, "").status)
+	deadly := 0
+	for _, r := range replicas {
+		for _, one := range r.Received() {
+			if one.Target == "/safe/deadly" {
+				deadly++
+			}
+		}
+	}
+	must.Eq(t, 1, deadly)
+}
+
 // Guards against an entry that starts after the crash and crashes the next server.
 func TestEntryThatStartsLaterLearnsOfTheCrash(t *testing.T) {
 	replicas := []*platformtest.Replica{platformtest.NewReplica(t, "i-1"), platformtest.NewReplica(t, "i-2")}
