decide/quarantine: hold all requests that a server was running when it crashed

Cause: two reads in flight at a crash shared the suspicion and came back after 3 s, each as a trial, so the one that crashes servers took down a second one.

Change: a request that the server may have been running is held for a minute, however many share the suspicion, unless it had been sound. One that only waited (a stream without a head) comes back after 3 s, like the parts of one. A call that is no stream may have been running: nothing tells.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// fullWeight is the weight of a crash that only one trait of its kind explains.
+	// fullWeight is the weight of a crash against a request that the server was running, and
+	// against a part that is the only one to explain it.
 	fullWeight = 1.0
 	// sharedWeight is the weight of any other crash.
 	sharedWeight = 0.5
@@ -84,13 +85,13 @@
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.contain(t) })
 }
 
-// began reports whether a server was about to write an answer to one of the suspects.
+// began reports whether the server may have been running one of the suspects.
 func (c *Crash) began() bool {
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Began })
 }
 
 // open returns the traits of the suspects without those that are shown to be sound since.
-// If a server was about to write an answer, only that request is a suspect.
+// If the server was running some of the requests, only these are suspects.
 func (c *Crash) open(known *proofs) []Trait {
 	began := c.began()
 	var open []Trait
@@ -232,22 +233,23 @@
 	return weights
 }
 
-// weight returns the weight of the crash against one of the traits that may explain it. A
-// part needs a server that was about to write an answer, since a wrong suspicion keeps other
-// requests waiting; that of a whole request keeps only its repeats waiting.
+// weight returns the weight of the crash against one of the traits that may explain it.
 func (c *Crash) weight(t Trait, blamed []Trait) float64 {
-	alone := !slices.ContainsFunc(blamed, func(other Trait) bool { return other != t && other.whole() == t.whole() })
 	switch {
-	case !t.whole() && alone && c.began():
-		return fullWeight
-	case !t.whole():
+	case !c.began():
 		return sharedWeight
+	case !t.whole():
+		// The suspicion of a part keeps other requests waiting.
+		if slices.ContainsFunc(blamed, func(other Trait) bool { return other != t && !other.whole() }) {
+			return sharedWeight
+		}
+		return fullWeight
 	case slices.Contains(c.proven, t) && !c.repeats(t):
 		return turnedWeight
-	case alone:
-		return fullWeight
 	default:
-		return sharedWeight
+		// A request that no entry has seen answered for a minute seldom comes again within
+		// the next, so the hold costs little, however many requests share the suspicion.
+		return fullWeight
 	}
 }
 
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -53,8 +53,9 @@
 // Suspect is a request that had no output at a server when the server crashed.
 type Suspect struct {
 	Traits
-	// Began reports whether the head of the answer had arrived: the server was about to
-	// write the first output.
+	// Began reports whether the server may have been running the request: the head of a
+	// stream had arrived, so that the server was about to write the first output, or the
+	// answer is no stream, so that nothing tells.
 	Began bool
 	// Repeated reports whether the request had crashed another server before.
 	Repeated bool
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -15,10 +15,14 @@
 	return quarantine.Traits{Request: f, Parts: p}
 }
 
-func suspectRequest(traits quarantine.Traits, began bool) quarantine.Suspect {
-	return quarantine.Suspect{Traits: traits, Began: began}
+// running returns a suspect that the server may have been running when it crashed.
+func running(traits quarantine.Traits) quarantine.Suspect {
+	return quarantine.Suspect{Traits: traits, Began: true}
 }
 
+// queued returns a suspect that the server had not begun to run when it crashed.
+func queued(traits quarantine.Traits) quarantine.Suspect { return quarantine.Suspect{Traits: traits} }
+
 func sent(q *quarantine.Quarantine, d time.Duration, traits quarantine.Traits) bool {
 	return q.Check(at(d), traits).Send
 }
@@ -28,7 +32,7 @@
 func TestRequestWithProvenPartsIsHeldAfterOneCrash(t *testing.T) {
 	q := quarantine.New(nil)
 	q.Output(at(0), request(1, "first"))
-	crashed(q, "s1", time.Second, suspectRequest(request(7, "first"), true))
+	crashed(q, "s1", time.Second, running(request(7, "first")))
 	q.Output(at(2*time.Second), request(2, "first"))
 	must.False(t, sent(q, 50*time.Second, request(7, "first")))
 	must.True(t, sent(q, time.Second, request(3, "first")))
@@ -38,7 +42,7 @@
 // from server to server.
 func TestRequestWithoutPartsIsHeldAfterOneCrash(t *testing.T) {
 	q := quarantine.New(nil)
-	crashed(q, "s1", time.Second, suspectRequest(request(7), false))
+	crashed(q, "s1", time.Second, running(request(7)))
 	must.False(t, sent(q, 50*time.Second, request(7)))
 	must.True(t, sent(q, time.Second, request(8)))
 }
@@ -48,10 +52,10 @@
 func TestOftenRepeatedRequestIsNotHeldForLong(t *testing.T) {
 	q := quarantine.New(nil)
 	q.Output(at(0), request(7))
-	crashed(q, "s1", time.Second, suspectRequest(request(7), false))
+	crashed(q, "s1", time.Second, running(request(7)))
 	must.True(t, sent(q, 1100*time.Millisecond, request(7)))
 	q.Output(at(1200*time.Millisecond), request(8))
-	crashed(q, "s2", 1300*time.Millisecond, suspectRequest(request(7), false))
+	crashed(q, "s2", 1300*time.Millisecond, running(request(7)))
 	d := q.Check(at(4400*time.Millisecond), request(7))
 	must.True(t, d.Send)
 	q.BeginTrial(at(4400*time.Millisecond), d.Trial)
@@ -64,25 +68,47 @@
 func TestRequestThatTurnedDeadlyIsHeldAfterItsRetry(t *testing.T) {
 	q := quarantine.New(nil)
 	q.Output(at(0), request(7))
-	crashed(q, "s1", time.Second, suspectRequest(request(7), false))
-	crashed(q, "s2", 1100*time.Millisecond, quarantine.Suspect{Traits: request(7), Repeated: true})
+	crashed(q, "s1", time.Second, running(request(7)))
+	crashed(q, "s2", 1100*time.Millisecond, quarantine.Suspect{Traits: request(7), Began: true, Repeated: true})
 	must.False(t, sent(q, 50*time.Second, request(7)))
 }
 
-// Guards against holding all requests that were in flight at a crash for as long as the one
-// that caused it.
+// Guards against requests that were in flight beside the one that caused the crash and are
+// refused for ever, and against trials of all of them at once that leave the cause unknown.
 func TestRequestsInFlightAtACrashReturnOneByOne(t *testing.T) {
 	q := quarantine.New(nil)
-	crashed(q, "s1", 0, suspectRequest(request(7), false), suspectRequest(request(8), false), suspectRequest(request(9), false))
-	must.False(t, sent(q, time.Second, request(8)))
+	crashed(q, "s1", 0, running(request(7)), running(request(8)), running(request(9)))
+	must.False(t, sent(q, 50*time.Second, request(8)))
 	for _, f := range []ident.Fingerprint{8, 9} {
-		d := q.Check(at(4*time.Second), request(f))
+		d := q.Check(at(61*time.Second), request(f))
 		must.Eq(t, quarantine.Trait{Request: f}, d.Trial)
-		q.BeginTrial(at(4*time.Second), d.Trial)
-		q.Output(at(4100*time.Millisecond), request(f))
-		must.True(t, sent(q, 4200*time.Millisecond, request(f)))
+		q.BeginTrial(at(61*time.Second), d.Trial)
+		q.Output(at(62*time.Second), request(f))
+		must.True(t, sent(q, 62*time.Second, request(f)))
 	}
-	must.False(t, sent(q, 4200*time.Millisecond, request(7)), must.Sprint("the only request that is left explains the crash"))
+	q.BeginTrial(at(62*time.Second), quarantine.Trait{Request: 7})
+	crashed(q, "s2", 63*time.Second, running(request(7)))
+	must.False(t, sent(q, 5*time.Minute, request(7)))
+}
+
+// Guards against a crash of a trial that leaves requests held which were in flight beside
+// the cause of the first crash.
+func TestSecondCrashOfARequestClearsThoseInFlightBesideIt(t *testing.T) {
+	q := quarantine.New(nil)
+	crashed(q, "s1", 0, running(request(7)), running(request(8)))
+	crashed(q, "s2", 4*time.Second, running(request(7)))
+	must.True(t, sent(q, 5*time.Second, request(8)))
+	must.False(t, sent(q, 2*time.Minute, request(7)))
+}
+
+// Guards against a long hold of requests that waited in a server's queue when it crashed.
+func TestRequestThatOnlyWaitedIsNotHeldForLong(t *testing.T) {
+	q := quarantine.New(nil)
+	crashed(q, "s1", 0, queued(request(7)), queued(request(8)))
+	must.False(t, sent(q, time.Second, request(7)))
+	must.True(t, sent(q, 4*time.Second, request(7)))
+	crashed(q, "s2", 5*time.Second, running(request(9)), queued(request(8)))
+	must.True(t, sent(q, 9*time.Second, request(8)))
 }
 
 // Guards against a blame of the prompt parts for crashes that one request explains.
@@ -90,7 +116,7 @@
 	q := quarantine.New(nil)
 	q.Output(at(0), request(1, "first"))
 	for n, d := range []time.Duration{time.Second, 5 * time.Second, 9 * time.Second} {
-		crashed(q, ident.ServerID(rune('a'+n)), d, suspectRequest(request(7, "first"), true))
+		crashed(q, ident.ServerID(rune('a'+n)), d, running(request(7, "first")))
 	}
 	must.True(t, sent(q, 10*time.Second, request(2, "first")))
 }
@@ -100,9 +126,9 @@
 func TestPartOfDifferentRequestsIsBlamed(t *testing.T) {
 	q := quarantine.New(nil)
 	q.Output(at(0), request(1, "first", "turned"))
-	crashed(q, "s1", time.Second, suspectRequest(request(7, "first", "turned"), true))
+	crashed(q, "s1", time.Second, running(request(7, "first", "turned")))
 	q.Output(at(4*time.Second), request(2, "first"))
-	crashed(q, "s2", 5*time.Second, suspectRequest(request(8, "first", "turned"), true))
+	crashed(q, "s2", 5*time.Second, running(request(8, "first", "turned")))
 	must.False(t, sent(q, 30*time.Second, request(9, "first", "turned")))
 	must.True(t, sent(q, 30*time.Second, request(9, "first")))
 }
@@ -112,7 +138,7 @@
 func TestRequestWithSeveralAccusedPartsReturnsByATrial(t *testing.T) {
 	q := quarantine.New(nil)
 	traits := request(7, "a", "b")
-	crashed(q, "s1", 0, suspectRequest(traits, true))
+	crashed(q, "s1", 0, running(traits))
 	d := q.Check(at(61*time.Second), traits)
 	must.True(t, d.Send)
 	q.BeginTrial(at(61*time.Second), d.Trial)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -66,9 +66,9 @@
 		// misdirected reports whether the address now belongs to another server.
 		misdirected bool
 		traits      quarantine.Traits
-		// crashed reports whether the server crashed before the first output, and
-		// answerBegan whether the head of the answer had arrived by then.
-		crashed, answerBegan bool
+		// crashed reports whether the server crashed before the first output, and began
+		// whether it may have been running the request.
+		crashed, began bool
 		// crashedBefore reports whether the request had crashed another server before.
 		crashedBefore bool
 		// answeredAt is when an answer arrived that announces no rate, zero without one.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -61,7 +61,7 @@
 func (d *dispatch) recordCrash(now time.Time, m attemptEnded) {
 	d.metrics.crashes.Inc()
 	d.noteEvidence(d.quarantine.Crashed(now, m.service, m.server, quarantine.Suspect{
-		Traits: m.traits, Began: m.answerBegan, Repeated: m.crashedBefore,
+		Traits: m.traits, Began: m.began, Repeated: m.crashedBefore,
 	}))
 }
 
--- a/internal/message/quarantine.go
+++ b/internal/message/quarantine.go
@@ -22,7 +22,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Parts are the shared parts of the request's prompt.
 	Parts []ident.PromptPart
-	// Began reports whether the head of the answer had arrived.
+	// Began reports whether the server may have been running the request.
 	Began bool
 	// Repeated reports whether the request had crashed another server before.
 	Repeated bool
