decide/quarantine: tell an entry that starts what was proven, not only what crashed

Cause: a new link brought the crashes whose cause is open, without the outputs that had shown their parts to be sound. The entry that started accused these parts and refused sound requests, for a minute if the part was the only one.

Change: the proofs about the suspects come before each crash, also those that are remembered with the crash only.

Evidence: TestEntryThatStartsLearnsWhatWasProven failed before.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -238,10 +238,19 @@
 func (q *Quarantine) AddCrash(now time.Time, c Crash) []Proof {
 	q.merge(c)
 	q.assess(now)
+	return q.proofsAbout(c)
+}
+
+// proofsAbout returns the proofs about the traits of the suspects.
+func (q *Quarantine) proofsAbout(c Crash) []Proof {
 	var known []Proof
 	for _, s := range c.Suspects {
 		for _, t := range s.all() {
 			at, ok := q.proofs.latest(t)
+			if !ok && slices.Contains(c.proven, t) {
+				// The proof is forgotten, and was from before the crash.
+				at, ok = c.At, true
+			}
 			if ok && !slices.ContainsFunc(known, func(other Proof) bool { return other.Trait == t }) {
 				known = append(known, Proof{Trait: t, At: at})
 			}
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -87,6 +87,8 @@
 	var state []message.Message
 	for service, q := range s.byService {
 		for _, c := range q.Crashes() {
+			// The proofs come first, so that no sound trait is ever accused.
+			state = append(state, proofMessages(now, service, q.proofsAbout(c))...)
 			state = append(state, crashReport(now, service, c))
 		}
 	}
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -145,3 +145,21 @@
 	q.Output(at(62*time.Second), traits)
 	must.True(t, sent(q, 63*time.Second, traits))
 }
+
+// Guards against an entry that starts after a crash, knows none of the outputs since, and
+// refuses sound requests with the part of the suspect.
+func TestEntryThatStartsLearnsWhatWasProven(t *testing.T) {
+	accepting, starting := newSet(), newSet()
+	accepting.Output(at(0), "svc", request(1, "first"))
+	accepting.Crashed(at(time.Second), "svc", "s1", running(request(7, "first")))
+	must.True(t, accepting.Check(at(2*time.Second), "svc", request(2, "first")).Send)
+	for _, m := range accepting.State(at(2 * time.Second)) {
+		starting.Handle(at(2*time.Second), m)
+	}
+	must.True(t, starting.Check(at(2*time.Second), "svc", request(2, "first")).Send)
+	must.False(t, starting.Check(at(2*time.Second), "svc", request(7, "first")).Send)
+}
+
+func newSet() *quarantine.Set {
+	return quarantine.NewSet(func(ident.ServiceName, quarantine.Transition) {})
+}
