decide/quarantine: an entry that starts keeps crashes that are minutes old

Cause: a crash more than a minute old that blames nothing is dropped before each assessment, and one that another entry has just told blames nothing yet. After all entries had been restarted one by one, a request that had crashed several servers was known nowhere, and its hold of minutes was over.

Change: what is old and blames nothing is dropped after the assessment.

Evidence: TestEntryThatStartsLearnsOfACrashMinutesAgo failed before.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -23,7 +23,9 @@
 
 // assess computes anew which traits are accused, and for how long each is held.
 func (q *Quarantine) assess(now time.Time) {
-	q.forget(now)
+	q.crashes = slices.DeleteFunc(q.crashes, func(c *Crash) bool {
+		return now.Sub(c.At) > memoryTime || len(c.open(&q.proofs)) == 0
+	})
 	open := make([][]Trait, len(q.crashes))
 	for n, c := range q.crashes {
 		c.noteProofs(&q.proofs)
@@ -48,16 +50,15 @@
 	for t, weight := range weights {
 		q.accuse(now, t, q.latestCrash(t, blamed).Add(holdTime(weight)))
 	}
+	q.forget(now)
 }
 
-// forget drops the crashes whose suspects are all shown to be sound, and those that are old
-// and blame no trait.
+// forget drops the crashes that are old and blame no trait. A crash that another entry has
+// just told is assessed before.
 func (q *Quarantine) forget(now time.Time) {
 	q.crashes = slices.DeleteFunc(q.crashes, func(c *Crash) bool {
-		open := c.open(&q.proofs)
-		blames := slices.ContainsFunc(open, func(t Trait) bool { return q.accused[t] != nil })
-		age := now.Sub(c.At)
-		return len(open) == 0 || age > memoryTime || age > proofTime && !blames
+		blames := slices.ContainsFunc(c.open(&q.proofs), func(t Trait) bool { return q.accused[t] != nil })
+		return now.Sub(c.At) > proofTime && !blames
 	})
 }
 
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -160,6 +160,36 @@
 	must.False(t, starting.Check(at(2*time.Second), "svc", request(7, "first")).Send)
 }
 
+// Guards against an entry that starts long after a crash and accuses traits whose outputs
+// from before the crash nobody remembers any more.
+func TestEntryThatStartsLateLearnsWhatWasProven(t *testing.T) {
+	accepting, starting := newSet(), newSet()
+	accepting.Output(at(0), "svc", request(1, "quiet"))
+	accepting.Crashed(at(time.Second), "svc", "s1", running(request(7, "quiet")))
+	for n := range 300 {
+		accepting.Output(at(time.Duration(n)*time.Second), "svc", request(2))
+	}
+	for _, m := range accepting.State(at(300 * time.Second)) {
+		starting.Handle(at(300*time.Second), m)
+	}
+	d := starting.Check(at(300*time.Second), "svc", request(3, "quiet"))
+	must.True(t, d.Send)
+	must.Eq(t, quarantine.Trait{}, d.Trial, must.Sprint("the part is not accused"))
+}
+
+// Guards against a request that is sent again after all entries were restarted one by one,
+// because each of them dropped a crash that was more than a minute old.
+func TestEntryThatStartsLearnsOfACrashMinutesAgo(t *testing.T) {
+	accepting, starting := newSet(), newSet()
+	accepting.Crashed(at(0), "svc", "s1", running(request(7)))
+	accepting.Crashed(at(10*time.Second), "svc", "s2", running(request(7)))
+	must.False(t, accepting.Check(at(2*time.Minute), "svc", request(7)).Send)
+	for _, m := range accepting.State(at(2 * time.Minute)) {
+		starting.Handle(at(2*time.Minute), m)
+	}
+	must.False(t, starting.Check(at(2*time.Minute), "svc", request(7)).Send)
+}
+
 func newSet() *quarantine.Set {
 	return quarantine.NewSet(func(ident.ServiceName, quarantine.Transition) {})
 }
