decide/quarantine: bound the evidence whatever the callers send

Cause: a caller may name any number of prompt parts of any length, and the names were kept for a minute or more together with the header line that held them: up to 20,000 of 16 KB in an entry of 206 MB. The suspects of a crash had no bound either, and an assessment took time with the square of their number.

Change: TraitsOf keeps 16 parts of at most 64 bytes each, copied; a crash has at most 64 suspects; the assessment is linear in the traits.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -47,8 +47,9 @@
 			delete(q.accused, t)
 		}
 	}
+	latest := q.latestCrashes(blamed)
 	for t, weight := range weights {
-		q.accuse(now, t, q.latestCrash(t, blamed).Add(holdTime(weight)))
+		q.accuse(now, t, latest[t].Add(holdTime(weight)))
 	}
 	q.forget(now)
 }
@@ -96,14 +97,16 @@
 func (c *Crash) open(known *proofs) []Trait {
 	began := c.began()
 	var open []Trait
+	seen := make(map[Trait]bool)
 	for _, s := range c.Suspects {
 		if began && !s.Began {
 			continue
 		}
 		for _, t := range s.all() {
-			if !slices.Contains(open, t) && !known.since(t, c.At.Add(proofLag)) {
+			if !seen[t] && !known.since(t, c.At.Add(proofLag)) {
 				open = append(open, t)
 			}
+			seen[t] = true
 		}
 	}
 	return open
@@ -113,8 +116,8 @@
 func (c *Crash) noteProofs(known *proofs) {
 	for _, s := range c.Suspects {
 		for _, t := range s.all() {
-			if _, ok := known.latest(t); ok && !slices.Contains(c.proven, t) {
-				c.proven = append(c.proven, t)
+			if _, ok := known.latest(t); ok {
+				c.proven[t] = true
 			}
 		}
 	}
@@ -136,7 +139,7 @@
 		if !kind(t) {
 			continue
 		}
-		if !slices.Contains(c.proven, t) {
+		if !c.proven[t] {
 			unproven = append(unproven, t)
 		}
 		if outages[t] > 1 {
@@ -245,7 +248,7 @@
 			return sharedWeight
 		}
 		return fullWeight
-	case slices.Contains(c.proven, t) && !c.repeats(t):
+	case c.proven[t] && !c.repeats(t):
 		return turnedWeight
 	default:
 		// A request that no entry has seen answered for a minute seldom comes again within
@@ -273,13 +276,17 @@
 	})
 }
 
-func (q *Quarantine) latestCrash(t Trait, blamed [][]Trait) (at time.Time) {
+// latestCrashes returns when the latest crash was for which each trait is blamed.
+func (q *Quarantine) latestCrashes(blamed [][]Trait) map[Trait]time.Time {
+	latest := make(map[Trait]time.Time)
 	for n, traits := range blamed {
-		if slices.Contains(traits, t) && q.crashes[n].At.After(at) {
-			at = q.crashes[n].At
+		for _, t := range traits {
+			if at := q.crashes[n].At; at.After(latest[t]) {
+				latest[t] = at
+			}
 		}
 	}
-	return at
+	return latest
 }
 
 // holdTime returns how long a trait is held after the latest crash.
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -46,8 +46,9 @@
 	// settleTime is how long after a crash the reports and proofs of other entries may
 	// still arrive.
 	settleTime = 300 * time.Millisecond
-	// maxCrashes bounds the crashes that are remembered.
-	maxCrashes = 64
+	// maxCrashes bounds the crashes that are remembered, maxSuspects the suspects of each.
+	maxCrashes  = 64
+	maxSuspects = 64
 )
 
 // Suspect is a request that had no output at a server when the server crashed.
@@ -68,7 +69,7 @@
 	Suspects []Suspect
 	// proven are the traits of suspects that were shown to be sound before the crash. They
 	// are kept here since proofs are forgotten earlier than crashes.
-	proven []Trait
+	proven map[Trait]bool
 	// outage numbers the outage in which the server crashed.
 	outage int
 }
@@ -247,7 +248,7 @@
 	for _, s := range c.Suspects {
 		for _, t := range s.all() {
 			at, ok := q.proofs.latest(t)
-			if !ok && slices.Contains(c.proven, t) {
+			if !ok && c.proven[t] {
 				// The proof is forgotten, and was from before the crash.
 				at, ok = c.At, true
 			}
@@ -266,13 +267,15 @@
 			continue
 		}
 		for _, s := range c.Suspects {
-			if !slices.ContainsFunc(known.Suspects, s.equal) {
+			if len(known.Suspects) < maxSuspects && !slices.ContainsFunc(known.Suspects, s.equal) {
 				known.Suspects = append(known.Suspects, s)
 			}
 		}
 		return
 	}
 	c.outage = q.outageOf(c.At)
+	c.proven = make(map[Trait]bool)
+	c.Suspects = c.Suspects[:min(len(c.Suspects), maxSuspects)]
 	q.crashes = append(q.crashes, &c)
 	if len(q.crashes) > maxCrashes {
 		q.crashes = q.crashes[1:]
--- a/internal/decide/quarantine/trait.go
+++ b/internal/decide/quarantine/trait.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 )
@@ -16,6 +17,13 @@
 // whole reports whether the trait is that of whole requests.
 func (t Trait) whole() bool { return t.Request != 0 }
 
+const (
+	// maxParts is the number of prompt parts of a request that are traits of it.
+	maxParts = 16
+	// maxPartBytes is the size of the longest id of a part that is a trait.
+	maxPartBytes = 64
+)
+
 // Traits are the traits of one request.
 type Traits struct {
 	// Request is the fingerprint of the request, zero if it is not known.
@@ -24,6 +32,19 @@
 	Parts []ident.PromptPart
 }
 
+// TraitsOf returns the traits of a request with the fingerprint and the shared prompt parts.
+// Clients choose how many parts they name and how; what exceeds the bounds is no trait. The
+// result shares no memory with the parts.
+func TraitsOf(request ident.Fingerprint, parts []ident.PromptPart) Traits {
+	t := Traits{Request: request}
+	for _, p := range parts[:min(len(parts), maxParts)] {
+		if len(p) <= maxPartBytes {
+			t.Parts = append(t.Parts, ident.PromptPart(strings.Clone(string(p))))
+		}
+	}
+	return t
+}
+
 // all returns the traits, the one of the whole request first.
 func (t Traits) all() []Trait {
 	list := make([]Trait, 0, len(t.Parts)+1)
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -1,6 +1,8 @@
 package quarantine_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -190,6 +192,32 @@
 	must.False(t, starting.Check(at(2*time.Minute), "svc", request(7)).Send)
 }
 
+// Guards against memory that grows with what callers send: prompts with many or long part
+// names, and many requests in flight at a crash.
+func TestEvidenceIsBounded(t *testing.T) {
+	long := ident.PromptPart(strings.Repeat("x", 16<<10))
+	many := make([]ident.PromptPart, 1000)
+	for n := range many {
+		many[n] = ident.PromptPart(fmt.Sprint("part-", n))
+	}
+	must.SliceEmpty(t, quarantine.TraitsOf(1, []ident.PromptPart{long}).Parts)
+	must.SliceLen(t, 16, quarantine.TraitsOf(1, many).Parts)
+
+	q := quarantine.New(nil)
+	for n := range 100 {
+		var suspects []quarantine.Suspect
+		for m := range 1000 {
+			suspects = append(suspects, running(request(ident.Fingerprint(n*1000+m+1))))
+		}
+		crashed(q, ident.ServerID(fmt.Sprint("s", n)), time.Duration(n)*time.Second, suspects...)
+		crashed(q, ident.ServerID(fmt.Sprint("s", n)), time.Duration(n)*time.Second, suspects...)
+	}
+	must.SliceLen(t, 64, q.Crashes())
+	for _, c := range q.Crashes() {
+		must.SliceLen(t, 64, c.Suspects)
+	}
+}
+
 func newSet() *quarantine.Set {
 	return quarantine.NewSet(func(ident.ServiceName, quarantine.Transition) {})
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -284,7 +284,7 @@
 		m.reply <- a
 		return
 	}
-	a.traits = quarantine.Traits{Request: m.content.Fingerprint(a.account), Parts: m.parts}
+	a.traits = quarantine.TraitsOf(m.content.Fingerprint(a.account), m.parts)
 	a.service = d.pickService(route)
 	d.budgetOf(a.service).Request(now)
 	d.service(a.service).Arrived(now)
