decide/quarantine: try a part soon if the request that accuses it comes again

Cause: a part that no output had shown to be sound was held for a minute with the request that crashed a server, and with it all sound requests that have the part. One crash cannot tell the two apart, but what follows can: a request that crashes servers comes again as it was, requests with a part that does are not alike.

Change: a held request that came twice more, at any entries, explains its crash; its parts are then held for 3 s only, until a trial by another request. Its caller's own retry is the first of the two.

Evidence: TestPartIsTriedSoonIfItsRequestComesAgain fails with the rule taken out; TestRetryOfTheCallerDoesNotExcuseThePart.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -49,7 +49,11 @@
 	}
 	latest := q.latestCrashes(blamed)
 	for t, weight := range weights {
-		q.accuse(now, t, latest[t].Add(holdTime(weight)))
+		hold := holdTime(weight)
+		if !t.whole() && q.recurringRequestsExplain(t, blamed) {
+			hold = min(hold, shortHold)
+		}
+		q.accuse(now, t, latest[t].Add(hold))
 	}
 	q.forget(now)
 }
@@ -276,6 +280,26 @@
 	})
 }
 
+// recurringRequestsExplain reports whether all crashes for which the part is blamed are by
+// requests that came again since. Requests that only share the part do not.
+func (q *Quarantine) recurringRequestsExplain(part Trait, blamed [][]Trait) bool {
+	for n, traits := range blamed {
+		if !slices.Contains(traits, part) {
+			continue
+		}
+		c := q.crashes[n]
+		for _, s := range c.Suspects {
+			if c.began() && !s.Began || !s.contain(part) {
+				continue
+			}
+			if a := q.accused[Trait{Request: s.Request}]; a == nil || a.recurrences < recurrencesToExplain {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // latestCrashes returns when the latest crash was for which each trait is blamed.
 func (q *Quarantine) latestCrashes(blamed [][]Trait) map[Trait]time.Time {
 	latest := make(map[Trait]time.Time)
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -43,6 +43,9 @@
 	// proofLag is how long after a crash a proof may seem to be that was earlier: it may be
 	// of output in transit, and its age is stated when another entry sends it.
 	proofLag = 400 * time.Millisecond
+	// recurrencesToExplain is how often a request must come again to be the likely cause of
+	// its crash, rather than a part of its prompt. Its caller's own retry is the first time.
+	recurrencesToExplain = 2
 	// settleTime is how long after a crash the reports and proofs of other entries may
 	// still arrive.
 	settleTime = 300 * time.Millisecond
@@ -102,6 +105,8 @@
 	holdTime  time.Duration
 	// ownTrial reports whether a request of this entry is the trial.
 	ownTrial bool
+	// recurrences counts how often a whole request came again, up to recurrencesToExplain.
+	recurrences int
 }
 
 // New returns a quarantine without evidence. Observe, if not nil, is called after each
@@ -197,6 +202,20 @@
 	}
 }
 
+// Recurred records that a request came again while it may be held, here or at another entry.
+// It reports whether other entries should know.
+func (q *Quarantine) Recurred(now time.Time, request ident.Fingerprint) bool {
+	a := q.accused[Trait{Request: request}]
+	if a == nil || a.recurrences >= recurrencesToExplain {
+		return false
+	}
+	a.recurrences++
+	if a.recurrences == recurrencesToExplain {
+		q.assess(now)
+	}
+	return true
+}
+
 // Proof says that a server wrote an output to a request with the trait.
 type Proof struct {
 	Trait Trait
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -41,6 +41,14 @@
 	return []message.Message{&message.TraitTrial{Service: service, Part: t.Part, Request: t.Request}}
 }
 
+// Refused records that a request was refused because Check did not allow it.
+func (s *Set) Refused(now time.Time, service ident.ServiceName, traits Traits) []message.Message {
+	if !s.of(service).Recurred(now, traits.Request) {
+		return nil
+	}
+	return []message.Message{&message.RequestRecurred{Service: service, Request: traits.Request}}
+}
+
 // Output records that a server has begun to write an answer to a request.
 func (s *Set) Output(now time.Time, service ident.ServiceName, traits Traits) []message.Message {
 	return proofMessages(now, service, s.of(service).Output(now, traits))
@@ -78,6 +86,8 @@
 		s.of(m.Service).AddProofs(now, proofs)
 	case *message.TraitTrial:
 		s.of(m.Service).PeerTrial(now, Trait{Part: m.Part, Request: m.Request})
+	case *message.RequestRecurred:
+		s.of(m.Service).Recurred(now, m.Request)
 	}
 	return nil
 }
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -192,6 +192,40 @@
 	must.False(t, starting.Check(at(2*time.Minute), "svc", request(7)).Send)
 }
 
+// Guards against a long refusal of sound requests with a rare part, whose only fault is that
+// a request which crashes servers has it, too.
+func TestPartIsTriedSoonIfItsRequestComesAgain(t *testing.T) {
+	own, other := newSet(), newSet()
+	for _, m := range own.Crashed(at(0), "svc", "s1", running(request(7, "rare"))) {
+		other.Handle(at(0), m)
+	}
+	must.False(t, own.Check(at(10*time.Second), "svc", request(8, "rare")).Send)
+	for _, d := range []time.Duration{time.Second, 2 * time.Second} {
+		for _, m := range own.Refused(at(d), "svc", request(7, "rare")) {
+			other.Handle(at(d), m)
+		}
+	}
+	for _, s := range []*quarantine.Set{own, other} {
+		d := s.Check(at(4*time.Second), "svc", request(8, "rare"))
+		must.Eq(t, quarantine.Trait{Part: "rare"}, d.Trial)
+		s.Output(at(5*time.Second), "svc", request(8, "rare"))
+		must.Eq(t, quarantine.Decision{Send: true}, s.Check(at(6*time.Second), "svc", request(9, "rare")))
+		must.False(t, s.Check(at(50*time.Second), "svc", request(7, "rare")).Send)
+	}
+}
+
+// Guards against an early trial of a part that crashes servers: its requests are not alike,
+// and only the caller of the first one sends that again.
+func TestRetryOfTheCallerDoesNotExcuseThePart(t *testing.T) {
+	s := newSet()
+	s.Crashed(at(0), "svc", "s1", running(request(7, "deadly")))
+	s.Refused(at(time.Second), "svc", request(7, "deadly"))
+	for n := range ident.Fingerprint(20) {
+		s.Refused(at(2*time.Second), "svc", request(100+n, "deadly"))
+	}
+	must.False(t, s.Check(at(50*time.Second), "svc", request(8, "deadly")).Send)
+}
+
 // Guards against memory that grows with what callers send: prompts with many or long part
 // names, and many requests in flight at a crash.
 func TestEvidenceIsBounded(t *testing.T) {
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -365,7 +365,7 @@
 		c.dispatch.Send(ctx, updateSlowdowns{slow: m.Slow})
 	case *message.ProcessAddresses:
 		c.addAddresses(ctx, append([]string{m.Own}, m.Addresses...))
-	case *message.CrashReport, *message.TraitsProven, *message.TraitTrial:
+	case *message.CrashReport, *message.TraitsProven, *message.TraitTrial, *message.RequestRecurred:
 		c.dispatch.Send(ctx, peerNotice{message: m})
 	case *message.RoutesPull:
 		if c.version() > m.After {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -289,14 +289,15 @@
 	d.budgetOf(a.service).Request(now)
 	d.service(a.service).Arrived(now)
 	if decision := d.quarantine.Check(now, a.service, a.traits); !decision.Send && !decision.Unsettled {
-		m.reply <- d.refuseQuarantined(a, decision)
+		m.reply <- d.refuseQuarantined(now, a, decision)
 		return
 	}
 	d.enqueue(now, m, a)
 }
 
 // refuseQuarantined returns the refusal of a request that may crash a server.
-func (d *dispatch) refuseQuarantined(a admission, decision quarantine.Decision) admission {
+func (d *dispatch) refuseQuarantined(now time.Time, a admission, decision quarantine.Decision) admission {
+	d.noteEvidence(d.quarantine.Refused(now, a.service, a.traits))
 	a.status, a.retryAfter = http.StatusServiceUnavailable, d.quarantineRetryAfter(decision)
 	a.outcome = outcome.DidNotRun(outcome.ReasonQuarantined, "the request may crash backend servers")
 	return a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -201,7 +201,7 @@
 	case message.KindHeartbeat:
 		return true
 	case message.KindEntryReport, message.KindProcessAddresses, message.KindRoutesPull, message.KindRoutesPush,
-		message.KindCrashReport, message.KindTraitsProven, message.KindTraitTrial, message.KindAnnouncedRates,
+		message.KindCrashReport, message.KindTraitsProven, message.KindTraitTrial, message.KindRequestRecurred, message.KindAnnouncedRates,
 		message.KindServerDepartures, message.KindStateSummary:
 		return role == message.RoleEntry
 	case message.KindSlowServers:
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -113,7 +113,7 @@
 		decision := d.quarantine.Check(now, w.service, w.traits)
 		switch {
 		case !decision.Send && !decision.Unsettled:
-			w.reply <- d.refuseQuarantined(w.admission, decision)
+			w.reply <- d.refuseQuarantined(now, w.admission, decision)
 		case decision.Send && d.tryAdmit(now, w, full):
 			if decision.Trial != (quarantine.Trait{}) {
 				d.noteEvidence(d.quarantine.BeginTrial(now, w.service, decision.Trial))
--- a/internal/message/kinds.go
+++ b/internal/message/kinds.go
@@ -37,6 +37,7 @@
 func (*CrashReport) kind() Kind      { return KindCrashReport }
 func (*TraitsProven) kind() Kind     { return KindTraitsProven }
 func (*TraitTrial) kind() Kind       { return KindTraitTrial }
+func (*RequestRecurred) kind() Kind  { return KindRequestRecurred }
 func (*AnnouncedRates) kind() Kind   { return KindAnnouncedRates }
 func (*ServerDepartures) kind() Kind { return KindServerDepartures }
 func (*StateSummary) kind() Kind     { return KindStateSummary }
@@ -121,6 +122,8 @@
 		return new(TraitsProven)
 	case KindTraitTrial:
 		return new(TraitTrial)
+	case KindRequestRecurred:
+		return new(RequestRecurred)
 	case KindAnnouncedRates:
 		return new(AnnouncedRates)
 	case KindServerDepartures:
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -77,6 +77,7 @@
 	KindAnnouncedRates
 	KindServerDepartures
 	KindStateSummary
+	KindRequestRecurred
 )
 
 // Digest identifies one accepted configuration record by its revision and the hash
--- a/internal/message/quarantine.go
+++ b/internal/message/quarantine.go
@@ -57,3 +57,11 @@
 	// Request is the fingerprint of the whole request, zero for a part.
 	Request ident.Fingerprint
 }
+
+// RequestRecurred tells the other entries that a request came again which is held because it
+// may have crashed a backend server.
+type RequestRecurred struct {
+	_       struct{} `cbor:",toarray"`
+	Service ident.ServiceName
+	Request ident.Fingerprint
+}
