entry, sidecar: keep requests that crashed a server from the servers

Cause: the same as at the gateway. An entry offered a request whose engine or plain service had died to the next sidecar, up to five times, and its caller could do the same at each entry. A sidecar did not tell a crash from a lost connection.

Change: a sidecar whose call was broken off by its server, which then refuses connections, fails the attempt with the reason backend-server-crashed. The entry keeps the evidence in the same decide/quarantine as the gateway, checks each offer against it, and tells the entries it is linked to; these pass on what is new to them, since not all entries are linked. Such requests have no named prompt parts, so only whole requests are known. The e2e entries know each other by their settings.

Not changed: bookings.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -279,12 +279,39 @@
 	return known
 }
 
-// merge adds a crash to those remembered, or its suspects to the same crash.
-func (q *Quarantine) merge(c Crash) {
+// knowsCrash reports whether the crash is remembered with all these suspects.
+func (q *Quarantine) knowsCrash(c Crash) bool {
+	known := q.sameCrash(c)
+	return known != nil && !slices.ContainsFunc(c.Suspects, func(s Suspect) bool {
+		return len(known.Suspects) < maxSuspects && !slices.ContainsFunc(known.Suspects, s.equal)
+	})
+}
+
+// knowsProof reports whether a proof of the trait is remembered that is not much older. The
+// time of a proof moves by the time that each message takes.
+func (q *Quarantine) knowsProof(p Proof) bool {
+	at, ok := q.proofs.latest(p.Trait)
+	return ok && !p.At.After(at.Add(proofLag))
+}
+
+func (q *Quarantine) onTrial(t Trait) bool {
+	a := q.accused[t]
+	return a != nil && a.lifecycle.In("trial")
+}
+
+// sameCrash returns the remembered crash that the report is about, or nil.
+func (q *Quarantine) sameCrash(c Crash) *Crash {
 	for _, known := range q.crashes {
-		if known.Server != c.Server || known.At.Sub(c.At).Abs() > outageTime {
-			continue
+		if known.Server == c.Server && known.At.Sub(c.At).Abs() <= outageTime {
+			return known
 		}
+	}
+	return nil
+}
+
+// merge adds a crash to those remembered, or its suspects to the same crash.
+func (q *Quarantine) merge(c Crash) {
+	if known := q.sameCrash(c); known != nil {
 		for _, s := range c.Suspects {
 			if len(known.Suspects) < maxSuspects && !slices.ContainsFunc(known.Suspects, s.equal) {
 				known.Suspects = append(known.Suspects, s)
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
@@ -67,8 +68,9 @@
 }
 
 // Handle adds what another process reports to the evidence. Messages of other kinds are
-// ignored.
-func (s *Set) Handle(now time.Time, m message.Message) []message.Message {
+// ignored. News reports whether the message told something new, so that a process whose
+// peers are not all linked to each other passes it on.
+func (s *Set) Handle(now time.Time, m message.Message) (replies []message.Message, news bool) {
 	switch m := m.(type) {
 	case *message.CrashReport:
 		c := Crash{Server: m.Server, At: now.Add(-m.Age)}
@@ -77,19 +79,39 @@
 				Traits: Traits{Request: one.Request, Parts: one.Parts}, Began: one.Began, Repeated: one.Repeated,
 			})
 		}
-		return proofMessages(now, m.Service, s.of(m.Service).AddCrash(now, c))
+		q := s.of(m.Service)
+		news = !q.knowsCrash(c)
+		return proofMessages(now, m.Service, q.AddCrash(now, c)), news
 	case *message.TraitsProven:
 		var proofs []Proof
 		for _, p := range m.Traits {
 			proofs = append(proofs, Proof{Trait: Trait{Part: p.Part, Request: p.Request}, At: now.Add(-p.Age)})
 		}
-		s.of(m.Service).AddProofs(now, proofs)
+		q := s.of(m.Service)
+		news = slices.ContainsFunc(proofs, func(p Proof) bool { return !q.knowsProof(p) })
+		q.AddProofs(now, proofs)
 	case *message.TraitTrial:
-		s.of(m.Service).PeerTrial(now, Trait{Part: m.Part, Request: m.Request})
+		t := Trait{Part: m.Part, Request: m.Request}
+		q := s.of(m.Service)
+		news = !q.onTrial(t)
+		q.PeerTrial(now, t)
+		news = news && q.onTrial(t)
 	case *message.RequestRecurred:
+		// The message has no number by which a copy could be told from another recurrence, so
+		// it is not passed on.
 		s.of(m.Service).Recurred(now, m.Request)
 	}
-	return nil
+	return nil, news
+}
+
+// Handles reports whether Handle takes messages of this kind.
+func Handles(m message.Message) bool {
+	switch m.(type) {
+	case *message.CrashReport, *message.TraitsProven, *message.TraitTrial, *message.RequestRecurred:
+		return true
+	default:
+		return false
+	}
 }
 
 // State returns what a process needs to know that has just started.
--- a/internal/e2etest/cluster.go
+++ b/internal/e2etest/cluster.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -80,6 +81,8 @@
 	logger   zerolog.Logger
 	store    *store
 	snapshot *record.Snapshot
+	// entryLinks are the link addresses of the entries started so far.
+	entryLinks []string
 }
 
 // Config describes a cluster.
@@ -223,6 +226,8 @@
 	if err != nil {
 		return nil, err
 	}
+	s.Peers = slices.Clone(c.entryLinks)
+	c.entryLinks = append(c.entryLinks, s.LinkListen)
 	return c.start(s, s.Listen, func(ctx context.Context, ready func(), kill <-chan struct{}) error {
 		return entry.Run(ctx, entry.Options{Settings: s, Logger: c.logger, Events: c.events(), Network: c.Network, Ready: ready, Kill: kill})
 	})
--- a/internal/e2etest/engine.go
+++ b/internal/e2etest/engine.go
@@ -1,8 +1,10 @@
 package e2etest
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -56,6 +58,9 @@
 	Leaving func() bool
 	// Padding is appended to each token's text.
 	Padding string
+	// CrashOn, if not empty, is a text in the body of requests that crash the engine: it
+	// closes the connection without an answer and refuses new ones.
+	CrashOn string
 }
 
 // completionBody holds the fields of a completion request that the engine reads.
@@ -98,12 +103,20 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
 	var body completionBody
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || !body.Stream {
+	if err := json.Unmarshal(data, &body); err != nil || !body.Stream {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	e.Calls <- Call{ID: r.Header.Get("X-Request-Id"), Resume: body.Resume, Closed: r.Context().Done()}
+	if text := e.behavior.CrashOn; text != "" && bytes.Contains(data, []byte(text)) {
+		_ = e.Listener.Close()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for n := body.Resume + 1; n <= e.behavior.Tokens; n++ {
--- a/internal/e2etest/service.go
+++ b/internal/e2etest/service.go
@@ -19,6 +19,10 @@
 	Calls chan ServiceCall
 }
 
+// CrashPath is a path on which a plain service closes the connection without an answer and
+// then refuses new ones.
+const CrashPath = "/crash"
+
 // NewPlainService starts a service on loopback. On the path abortPath it closes the
 // connection without an answer after it has run the call.
 func NewPlainService(abortPath string) *PlainService {
@@ -29,6 +33,10 @@
 			return
 		}
 		s.Calls <- ServiceCall{Method: r.Method, Path: r.URL.RequestURI(), Key: r.Header.Get("Idempotency-Key"), Body: string(body)}
+		if r.URL.Path == CrashPath {
+			_ = s.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
 		if r.URL.Path == abortPath {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,6 +37,15 @@
 // ErrTruncated means that a stream ended, or that emit stopped it, before its last event.
 var ErrTruncated = errors.New("engine stream ended before [DONE]")
 
+// truncatedError is ErrTruncated with its cause.
+type truncatedError struct{ cause error }
+
+// Error implements error.
+func (e truncatedError) Error() string { return ErrTruncated.Error() + ": " + e.cause.Error() }
+
+// Unwrap returns ErrTruncated and the cause.
+func (e truncatedError) Unwrap() []error { return []error{ErrTruncated, e.cause} }
+
 // Engine is a client of one model engine. It is immutable.
 type Engine struct {
 	url    string
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-
-	"github.com/pkg/errors"
 )
 
 // maxLineBytes is the size of a stream's read buffer and thus of its longest line.
@@ -28,7 +26,7 @@
 			if len(batch) > 0 {
 				emit(batch)
 			}
-			return errors.Wrapf(ErrTruncated, "%v", err)
+			return truncatedError{cause: err}
 		}
 		data, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataField)
 		if !found {
--- a/internal/entry/activerequest.go
+++ b/internal/entry/activerequest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/decide/stream"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
@@ -38,7 +39,9 @@
 	// remaining time, resume position and no-wait are filled in for each.
 	offer message.Offer
 	query query
-	plan  request.Plan
+	// traits are what the request may have in common with one that crashes servers.
+	traits quarantine.Traits
+	plan   request.Plan
 	// collect reports whether the answer is delivered only when it is complete.
 	collect bool
 	// attachTo, if not empty, is the request whose stream is read, from the piece
@@ -79,6 +82,12 @@
 	// produced output.
 	offeredAt time.Time
 	hasOutput bool
+	// serverCrashed reports whether the server of the current attempt crashed before any
+	// output. crashes counts such attempts.
+	serverCrashed bool
+	crashes       int
+	// trial is the accused trait that the request tries, if any.
+	trial quarantine.Trait
 	// gapDeadline is when an answer whose end has arrived counts as failed because
 	// pieces are still missing. Zero means that no pieces are missing.
 	gapDeadline time.Time
--- a/internal/entry/completions.go
+++ b/internal/entry/completions.go
@@ -28,6 +28,7 @@
 }
 
 const (
+	completionsPath = "/v1/chat/completions"
 	// bytesPerToken is the assumed mean size of a token, to estimate prompt tokens.
 	bytesPerToken = 4
 	// defaultOutput is the assumed number of output tokens of a request without a
@@ -99,9 +100,10 @@
 		prefixTokens: min(prompt, prefixBytes/bytesPerToken), creditWait: class.FirstTokenTarget / creditWaitDivisor,
 	}
 	return submission{
-		offer: message.Offer{Account: a.ID, Weight: a.Weight, Class: class.Name, Cost: cost, Prefix: prefix, Body: body},
-		query: q,
-		plan:  request.Plan{FirstOutputTimeout: deadlineOf(class), Repeatable: true},
+		offer:  message.Offer{Account: a.ID, Weight: a.Weight, Class: class.Name, Cost: cost, Prefix: prefix, Body: body},
+		query:  q,
+		traits: traitsOf(a.ID, http.MethodPost, completionsPath, body),
+		plan:   request.Plan{FirstOutputTimeout: deadlineOf(class), Repeatable: true},
 	}
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -69,11 +69,13 @@
 	dial     func(ctx context.Context, address string)
 	dispatch *task.Mailbox[dispatchMessage]
 	bookings *task.Mailbox[bookingMessage]
-	logger   zerolog.Logger
-	events   *eventlog.Log
-	metrics  *metrics
-	random   *rand.Rand
-	ready    func()
+	// notices are messages of the dispatch task to the other entries.
+	notices *task.Mailbox[message.Message]
+	logger  zerolog.Logger
+	events  *eventlog.Log
+	metrics *metrics
+	random  *rand.Rand
+	ready   func()
 }
 
 func newControl(now time.Time, grace time.Duration) (*control, error) {
@@ -104,6 +106,7 @@
 // run runs the control task until the process is stopped.
 func (c *control) run(ctx context.Context) error {
 	defer c.mailbox.Close()
+	defer c.notices.Close()
 	for _, address := range c.seeds {
 		c.dial(ctx, address)
 	}
@@ -113,6 +116,8 @@
 		select {
 		case m := <-c.mailbox.Receive():
 			c.step(ctx, time.Now(), m)
+		case m := <-c.notices.Receive():
+			c.sendToEntries(m)
 		case now := <-tick.C:
 			c.tick(ctx, now)
 		case <-ctx.Done():
@@ -148,6 +153,9 @@
 	case link.Up:
 		c.links[e.Link] = struct{}{}
 		c.setHeartbeats()
+		if e.Link.Peer().Role == message.RoleEntry {
+			c.sendQuarantine(ctx, e.Link)
+		}
 	case link.Down:
 		delete(c.links, e.Link)
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/chart"
+	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
@@ -107,6 +108,11 @@
 	events   *eventlog.Log
 	metrics  *metrics
 	record   message.Digest
+	// quarantine holds what may crash servers, notices are its messages to other entries.
+	quarantine *quarantine.Set
+	notices    *task.Mailbox[message.Message]
+	// requestTags name the fingerprints of requests in the event log.
+	requestTags eventlog.RequestTags
 }
 
 func newDispatch(p *picker, random *rand.Rand, instance ident.InstanceID, events *eventlog.Log, m *metrics) (*dispatch, error) {
@@ -116,7 +122,10 @@
 		requests: make(map[ticket]*activeRequest), attempts: make(map[attemptKey]*activeRequest),
 		servers: make(map[ident.ServerID]*server),
 		events:  events, metrics: m,
+		notices:     task.NewMailbox[message.Message](noticeCapacity, task.DropOldest),
+		requestTags: eventlog.NewRequestTags(),
 	}
+	d.initQuarantine()
 	var err error
 	d.machines, err = request.NewMachines(d.observe)
 	return d, err
@@ -186,6 +195,10 @@
 		m.reply <- d.picker.servers()
 	case askActiveRequests:
 		m.reply <- len(d.requests)
+	case quarantineNotice:
+		d.handleNotice(now, m.message)
+	case askQuarantine:
+		m.reply <- d.quarantine.State(now)
 	}
 }
 
@@ -248,6 +261,10 @@
 		d.chooseHolder(now, r, a)
 		return
 	}
+	if refused, ok := d.mayOffer(now, r); !ok {
+		d.advance(now, r, refused)
+		return
+	}
 	if a.Retry && !d.budget.Take() {
 		d.advance(now, r, request.NoServer{Outcome: outcome.DidNotRun(outcome.ReasonRetryBudget, ""), Final: true})
 		return
@@ -306,7 +323,10 @@
 	}
 	r.receiver.Begin(a.Attempt)
 	d.attempts[r.key] = r
-	r.offeredAt, r.hasOutput = now, false
+	r.offeredAt, r.hasOutput, r.serverCrashed = now, false, false
+	if r.trial != (quarantine.Trait{}) {
+		d.noteEvidence(d.quarantine.BeginTrial(now, r.quarantineKey(), r.trial))
+	}
 	d.picker.started(now, a.Server, r.id, r.query)
 	r.link = d.linkOf(a.Server)
 	if r.link == nil || !r.link.Send(r.attemptFrame(a)) {
@@ -322,6 +342,11 @@
 
 func (d *dispatch) endAttempt(now time.Time, r *activeRequest, a request.EndAttempt) {
 	d.picker.ended(now, a.Server, r.id, a.Failed)
+	if r.serverCrashed {
+		d.recordCrash(now, r, a.Server)
+	} else if r.attachTo == "" {
+		d.quarantine.AttemptEnded(now, r.quarantineKey(), r.traits)
+	}
 	if a.Failed {
 		d.metrics.broken.Inc()
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/anvilpoint/anvilpoint/internal/codec"
+	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/link"
@@ -130,6 +131,7 @@
 		return err
 	}
 	c.instance, c.dispatch, c.bookings = p.options.Settings.Instance, p.dispatch.mailbox, p.bookings.mailbox
+	c.notices = p.dispatch.notices
 	c.logger, c.events, c.metrics = p.options.Logger, p.options.Events, p.metrics
 	c.ready, c.random = p.options.Ready, p.random(3)
 	c.dial = func(ctx context.Context, address string) {
@@ -182,6 +184,8 @@
 	case message.KindAccepted, message.KindRefused, message.KindWithdrawn, message.KindTooLate,
 		message.KindChunk, message.KindDone, message.KindFailed, message.KindReserved, message.KindBookResult:
 		return role == message.RoleSidecar
+	case message.KindCrashReport, message.KindTraitsProven, message.KindTraitTrial, message.KindRequestRecurred:
+		return role == message.RoleEntry
 	default:
 		return false
 	}
@@ -192,6 +196,11 @@
 	if e.Kind != link.Received || slices.ContainsFunc(e.Messages, peering.Handles) {
 		p.control.mailbox.Send(ctx, linkEvent{event: e})
 	}
+	for _, m := range e.Messages {
+		if quarantine.Handles(m) {
+			p.dispatch.mailbox.Send(ctx, quarantineNotice{message: m})
+		}
+	}
 	if e.Link.Peer().Role == message.RoleSidecar {
 		p.dispatch.mailbox.Send(ctx, linkActivity{event: e})
 		p.deliverBookings(ctx, e)
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -161,6 +161,7 @@
 func (d *dispatch) firstOutput(now time.Time, r *activeRequest) {
 	if !r.hasOutput && r.attachTo == "" {
 		r.hasOutput = true
+		d.noteEvidence(d.quarantine.Output(now, r.quarantineKey(), r.traits))
 		d.picker.firstOutput(now, r.lifecycle.LatestServer(), r.id, now.Sub(r.offeredAt))
 	}
 }
@@ -205,6 +206,10 @@
 
 func (d *dispatch) handleFailed(now time.Time, r *activeRequest, m *message.Failed) {
 	attempt := m.Attempt - r.offset
+	if m.Reason == outcome.ReasonServerCrashed && !r.hasOutput && r.attachTo == "" {
+		r.serverCrashed = true
+		r.crashes++
+	}
 	if m.Kind == outcome.NotRun && !r.lifecycle.Answering() {
 		d.advance(now, r, request.Refused{Attempt: attempt, Reason: m.Reason})
 		return
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -9,7 +9,10 @@
 	chunks   prometheus.Counter
 	stray    prometheus.Counter
 	broken   prometheus.Counter
-	links    *prometheus.CounterVec
+	crashes  prometheus.Counter
+	// quarantined counts the requests whose repeats are kept from the servers.
+	quarantined prometheus.Gauge
+	links       *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -27,10 +30,16 @@
 		broken: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "anvilpoint_entry_broken_attempts_total", Help: "Attempts that ended without a whole answer.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "anvilpoint_entry_backend_crashes_total", Help: "Attempts whose backend server crashed before the first output.",
+		}),
+		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "anvilpoint_entry_quarantined_requests", Help: "Requests whose repeats are kept from the backend servers, or would be sent as a trial.",
+		}),
 		links: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "anvilpoint_link_closed_total", Help: "Links that ended, by reason.",
 		}, []string{"reason"}),
 	}
-	m.registry.MustRegister(m.requests, m.chunks, m.stray, m.broken, m.links)
+	m.registry.MustRegister(m.requests, m.chunks, m.stray, m.broken, m.crashes, m.quarantined, m.links)
 	return m
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,7 +35,7 @@
 	router := httprouter.New()
 	router.RedirectTrailingSlash = false
 	router.RedirectFixedPath = false
-	router.POST("/v1/chat/completions", s.completions)
+	router.POST(completionsPath, s.completions)
 	router.GET("/v1/streams/:id", s.attachStream)
 	router.GET("/v1/models", s.models)
 	for _, method := range []string{
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -79,6 +79,7 @@
 	if r.URL.RawQuery != "" {
 		sub.offer.Path += "?" + r.URL.RawQuery
 	}
+	sub.traits = traitsOf(a.ID, r.Method, sub.offer.Path, body)
 	return sub
 }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/anvilpoint/anvilpoint/chart"
 	"github.com/anvilpoint/anvilpoint/internal/charts"
+	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/link"
@@ -350,6 +351,10 @@
 }
 
 func (c *control) handleMessage(ctx context.Context, now time.Time, from *link.Link, m message.Message) {
+	if quarantine.Handles(m) {
+		c.dispatch.Send(ctx, peerNotice{message: m})
+		return
+	}
 	switch m := m.(type) {
 	case *message.EntryReport:
 		c.dispatch.Send(ctx, peerReport{from: from.Peer().Instance, report: m})
@@ -365,8 +370,6 @@
 		c.dispatch.Send(ctx, updateSlowdowns{slow: m.Slow})
 	case *message.ProcessAddresses:
 		c.addAddresses(ctx, append([]string{m.Own}, m.Addresses...))
-	case *message.CrashReport, *message.TraitsProven, *message.TraitTrial, *message.RequestRecurred:
-		c.dispatch.Send(ctx, peerNotice{message: m})
 	case *message.RoutesPull:
 		if c.version() > m.After {
 			from.Send(&message.RoutesPush{Version: c.version(), Document: c.document})
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -259,7 +259,9 @@
 	case outputBegan:
 		d.noteEvidence(d.quarantine.Output(now, m.service, m.traits))
 	case peerNotice:
-		d.noteEvidence(d.quarantine.Handle(now, m.message))
+		// Entries are linked to each other, so nothing is passed on.
+		replies, _ := d.quarantine.Handle(now, m.message)
+		d.noteEvidence(replies)
 	case getQuarantineState:
 		m.reply <- d.quarantine.State(now)
 	}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -54,8 +54,10 @@
 	ReasonGroupReforming   Reason = "group-reforming"
 	ReasonServerSuspected  Reason = "backend-server-suspected"
 	ReasonDuplicateAttempt Reason = "duplicate-attempt"
-	// ReasonQuarantined: a part of the prompt may crash the model engines.
-	ReasonQuarantined Reason = "prompt-part-quarantined"
+	// ReasonServerCrashed: the backend server's process ended before the first output.
+	ReasonServerCrashed Reason = "backend-server-crashed"
+	// ReasonQuarantined: the request has something in common with one that crashed a server.
+	ReasonQuarantined Reason = "request-quarantined"
 )
 
 // Outcome is how a request, an attempt or a booking ended.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,21 @@
 	URL    string         `json:"url" required:"true" doc:"Base URL of the backend server."`
 }
 
+// Address returns the host and port of the backend server, or "" if the URL is invalid.
+func (b *Backend) Address() string {
+	u, err := url.Parse(b.URL)
+	switch {
+	case err != nil:
+		return ""
+	case u.Port() != "":
+		return u.Host
+	case u.Scheme == "https":
+		return net.JoinHostPort(u.Hostname(), "443")
+	default:
+		return net.JoinHostPort(u.Hostname(), "80")
+	}
+}
+
 // Parse reads settings and reports every fault.
 func Parse(file string, data []byte) (*Settings, jsonc.Faults) {
 	s := new(Settings)
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -13,6 +13,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/decide/stream"
 	"github.com/anvilpoint/anvilpoint/internal/engine"
 	"github.com/anvilpoint/anvilpoint/internal/message"
+	"github.com/anvilpoint/anvilpoint/internal/network"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 	"github.com/anvilpoint/anvilpoint/internal/service"
 	"github.com/anvilpoint/anvilpoint/task"
@@ -108,8 +109,27 @@
 	return ok && more
 }
 
+// crashProbe finds out whether the backend server crashed.
+type crashProbe struct {
+	network network.Network
+	// address is the host and port of the backend server.
+	address string
+}
+
+// failedCall returns the failure of a call without a complete answer.
+func (p crashProbe) failedCall(ctx context.Context, err error) streamEnd {
+	end := transportErrorEnd(err)
+	if ctx.Err() == nil && network.ClosedByPeer(err) && network.RefusesConnections(ctx, p.network.Dial, p.address) {
+		end.failed.Reason = outcome.ReasonServerCrashed
+	}
+	return end
+}
+
 // engineBackend runs completions on a model engine.
-type engineBackend struct{ engine *engine.Engine }
+type engineBackend struct {
+	engine *engine.Engine
+	probe  crashProbe
+}
 
 func (b engineBackend) call(ctx context.Context, o *message.Offer, emit func([][]byte) bool) streamEnd {
 	err := b.engine.Complete(ctx, engine.Call{
@@ -127,7 +147,7 @@
 	if errors.As(err, &refusal) {
 		return engineErrorEnd(refusal, emit)
 	}
-	return transportErrorEnd(err)
+	return b.probe.failedCall(ctx, err)
 }
 
 // engineErrorEnd maps an engine's error status. An engine that answers 429 or 503
@@ -157,12 +177,15 @@
 }
 
 // serviceBackend runs calls to a plain service.
-type serviceBackend struct{ service *service.Service }
+type serviceBackend struct {
+	service *service.Service
+	probe   crashProbe
+}
 
 func (b serviceBackend) call(ctx context.Context, o *message.Offer, emit func([][]byte) bool) streamEnd {
 	answer, err := b.service.Do(ctx, service.Call{Method: o.Method, Path: o.Path, Header: o.Header, Body: o.Body})
 	if err != nil {
-		return transportErrorEnd(err)
+		return b.probe.failedCall(ctx, err)
 	}
 	for body := answer.Body; len(body) > 0; {
 		size := min(servicePieceBytes, len(body))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -174,11 +174,12 @@
 func (p *process) newBackend() (backend, int) {
 	client := source.NewClient(p.options.Network)
 	b := p.options.Settings.Backend
+	probe := crashProbe{network: p.options.Network, address: b.Address()}
 	if b.Kind == "service" {
-		return serviceBackend{service: service.New(b.URL, client)}, serviceSlots
+		return serviceBackend{service: service.New(b.URL, client), probe: probe}, serviceSlots
 	}
 	p.engine = engine.New(b.URL, client)
-	return engineBackend{engine: p.engine}, initialEngineSlots
+	return engineBackend{engine: p.engine, probe: probe}, initialEngineSlots
 }
 
 // hello is called by link tasks. It must not wait for the control task, which may
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +15,7 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/call"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/network"
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
@@ -220,27 +220,15 @@
 // server crashed.
 func (x *exchange) failBeforeOutput(err error) {
 	failed := Failed{Err: err, Malformed: errors.Is(err, errMalformed)}
-	if x.request.DetectCrash && closedByPeer(err) {
+	if x.request.DetectCrash && network.ClosedByPeer(err) {
 		failed.Crashed = x.refusesConnections()
 	}
 	x.emit(failed)
 }
 
-// closedByPeer reports whether the server's side ended the connection.
-func closedByPeer(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 // refusesConnections reports whether nothing accepts connections at the server's address.
 func (x *exchange) refusesConnections() bool {
-	socket, err := x.transport.Dial(x.ctx, x.request.Address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	// The connection has carried nothing, so an error from Close does not matter.
-	_ = socket.Close()
-	return false
+	return network.RefusesConnections(x.ctx, x.transport.Dial, x.request.Address)
 }
 
 func (x *exchange) write() (int, error) {
