upstream: a stream without a length is not complete if its server crashed

Cause: whether the server had crashed was found out only for requests with prompt parts. Any other stream without a length or chunks that ended between two events because its server died reached the client as a complete success.

Change: every attempt that is broken off before output, and every stream that ends with its connection, finds out by one connection; Request.DetectCrash is gone.

Evidence: TestStreamWithoutLengthOfACrashedServerIsIncomplete and TestCrashIsToldFromALostConnection, without the flag, failed before.

--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -240,7 +240,7 @@
 		Target: c.request.RequestURI, Host: c.request.Host, Header: c.handler.protocol.Forward(c.request.Header, c.forwardHeaders(left)),
 		Body: c.body, HasBody: len(c.body) > 0 || c.request.ContentLength >= 0 && c.request.Header.Get("Content-Length") != "",
 		Stream: c.route.Kind == record.Streaming, AtMostOnce: !c.route.Repeats(),
-		DetectCrash: c.route.Kind != record.Streaming || len(c.meta.PromptParts) > 0, MaySend: c.maySend(),
+		MaySend: c.maySend(),
 	}
 	number, events := c.currentAttempt, c.events
 	c.attempts.Go(func() {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -73,7 +73,7 @@
 	// Malformed is set if the bytes received are not a valid answer to this request.
 	Malformed bool
 	// Crashed is set if the server closed the connection before any output and then
-	// refused a new one. It is only found out for requests with DetectCrash.
+	// refused a new one. Finding out costs one connection.
 	Crashed bool
 }
 
@@ -102,9 +102,6 @@
 	// AtMostOnce is set if the request must not run twice. It is not sent on a
 	// connection that its server may be about to close.
 	AtMostOnce bool
-	// DetectCrash is set if the caller needs to know whether a failure was a crash of the
-	// server. It costs one connection for each answer that is broken off before any output.
-	DetectCrash bool
 	// MaySend is asked before the request is written if opening the connection took long. If
 	// it returns false, the request is not sent. Nil means that it may always be sent.
 	MaySend func(ctx context.Context) bool
@@ -220,7 +217,7 @@
 // server crashed.
 func (x *exchange) failBeforeOutput(err error) {
 	failed := Failed{Err: err, Malformed: errors.Is(err, errMalformed)}
-	if x.request.DetectCrash && network.ClosedByPeer(err) {
+	if network.ClosedByPeer(err) {
 		failed.Crashed = x.refusesConnections()
 	}
 	x.emit(failed)
@@ -339,7 +336,7 @@
 		if err == nil {
 			continue
 		}
-		if err == io.EOF && endsWithConnection(response) && (!outputBegan || x.request.DetectCrash && x.refusesConnections()) {
+		if err == io.EOF && endsWithConnection(response) && (!outputBegan || x.refusesConnections()) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != io.EOF {
