upstream: an answer without a length is not complete if its server crashed

Cause: the end of the connection ends an answer that has neither a length nor chunks. A server that died in the middle of one ended the connection, too, and the part reached the client as a complete success.

Change: after such an answer one connection finds out whether the server has crashed; if so the attempt has failed.

Evidence: TestAnswerWithoutLengthOfACrashedServerIsIncomplete failed before.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -304,6 +304,9 @@
 // body reads an answer that is not a stream. It reports whether it is complete.
 func (x *exchange) body(head call.Head, response *http.Response) bool {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && endsWithConnection(response) && x.refusesConnections() {
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
 	case err != nil:
 		x.emit(Failed{Err: errors.Wrapf(err, "read the answer of backend server %s", x.request.Server)})
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -436,6 +436,24 @@
 	must.True(t, failed)
 }
 
+// Guards against a part of an answer that reaches the client as the whole one, because only
+// the end of the connection marks its end and the server crashed.
+func TestAnswerWithoutLengthOfACrashedServerIsIncomplete(t *testing.T) {
+	for _, crashed := range []bool{true, false} {
+		f := newFixture(t)
+		e := f.one(upstream.Request{ID: "1"}, func(s *server) {
+			s.read(t)
+			s.write("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\npart of an answer")
+			if crashed {
+				f.stopListening()
+			}
+			_ = s.conn.Close()
+		})
+		_, failed := e.(upstream.Failed)
+		must.Eq(t, crashed, failed)
+	}
+}
+
 // Guards against a stream without a length whose server crashes between two events: the
 // client would take the part for the whole.
 func TestStreamWithoutLengthOfACrashedServerIsIncomplete(t *testing.T) {
