service, sidecar: an answer without a length is not complete if its service crashed

The caller of an entry got the part with the outcome completed, and a booking stored it.

Change: the client of a plain service finds out by one connection after such an answer whether the service has crashed; if so the call has failed and may have run.

--- a/internal/e2etest/quarantine_test.go
+++ b/internal/e2etest/quarantine_test.go
@@ -94,3 +94,14 @@
 	}
 	must.Eq(t, 2, calls, must.Sprint("one deadly call and a sound one"))
 }
+
+// Guards against a part of an answer that reaches the caller as the whole one, because only
+// the end of the connection marks its end and the service crashed.
+func TestAnswerWithoutLengthOfACrashedServiceIsIncomplete(t *testing.T) {
+	s := e2etest.NewPlainService("")
+	defer s.Close()
+	f := newFixture(t, serviceBackend("s0", s))
+	f.start(1)
+	r := f.do(0, http.MethodGet, "/v1/services/"+string(e2etest.Service)+e2etest.CrashInAnswerPath, e2etest.AccountKey, nil)
+	must.Eq(t, http.StatusBadGateway, r.StatusCode)
+}
--- a/internal/e2etest/service.go
+++ b/internal/e2etest/service.go
@@ -20,8 +20,12 @@
 }
 
 // CrashPath is a path on which a plain service closes the connection without an answer and
-// then refuses new ones.
-const CrashPath = "/crash"
+// then refuses new ones. On CrashInAnswerPath it does so in the middle of an answer that has
+// neither a length nor chunks.
+const (
+	CrashPath         = "/crash"
+	CrashInAnswerPath = "/crash-in-answer"
+)
 
 // NewPlainService starts a service on loopback. On the path abortPath it closes the
 // connection without an answer after it has run the call.
@@ -37,6 +41,11 @@
 			_ = s.Listener.Close()
 			panic(http.ErrAbortHandler)
 		}
+		if r.URL.Path == CrashInAnswerPath {
+			_ = s.Listener.Close()
+			writePart(w)
+			return
+		}
 		if r.URL.Path == abortPath {
 			panic(http.ErrAbortHandler)
 		}
@@ -46,3 +55,13 @@
 	}))
 	return s
 }
+
+// writePart writes a part of an answer without a length and closes the connection.
+func writePart(w http.ResponseWriter) {
+	connection, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\npart of an answer")
+	_ = connection.Close()
+}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -116,10 +116,15 @@
 	address string
 }
 
+// crashed reports whether the backend server accepts no connections.
+func (p crashProbe) crashed(ctx context.Context) bool {
+	return network.RefusesConnections(ctx, p.network.Dial, p.address)
+}
+
 // failedCall returns the failure of a call without a complete answer.
 func (p crashProbe) failedCall(ctx context.Context, err error) streamEnd {
 	end := transportErrorEnd(err)
-	if ctx.Err() == nil && network.ClosedByPeer(err) && network.RefusesConnections(ctx, p.network.Dial, p.address) {
+	if ctx.Err() == nil && network.ClosedByPeer(err) && p.crashed(ctx) {
 		end.failed.Reason = outcome.ReasonServerCrashed
 	}
 	return end
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -174,14 +174,18 @@
 func (p *process) newBackend() (backend, int) {
 	client := source.NewClient(p.options.Network)
 	b := p.options.Settings.Backend
-	probe := crashProbe{network: p.options.Network, address: b.Address()}
+	probe := p.crashProbe()
 	if b.Kind == "service" {
-		return serviceBackend{service: service.New(b.URL, client), probe: probe}, serviceSlots
+		return serviceBackend{service: service.New(b.URL, client, probe.crashed), probe: probe}, serviceSlots
 	}
 	p.engine = engine.New(b.URL, client)
 	return engineBackend{engine: p.engine, probe: probe}, initialEngineSlots
 }
 
+func (p *process) crashProbe() crashProbe {
+	return crashProbe{network: p.options.Network, address: p.options.Settings.Backend.Address()}
+}
+
 // hello is called by link tasks. It must not wait for the control task, which may
 // be waiting for a link task, so the record's digest follows in a heartbeat.
 func (p *process) hello() message.Hello {
