decide/quarantine: no more than three trials of a part after its fifth crash

Cause: a part that crashes servers was tried every ten minutes as long as requests with it came, and a crash counted for 40 minutes only, so each trial cost a group of engines and nothing ever ended them.

Evidence: TestTrialsOfAPartEnd failed before (no end within 100 crashes).

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -47,13 +47,16 @@
 			delete(q.accused, t)
 		}
 	}
-	latest := q.latestCrashes(blamed)
+	history := q.crashHistory(blamed)
 	for t, weight := range weights {
 		hold := holdTime(weight)
+		if !t.whole() && history[t].crashes >= maxPartCrashes {
+			hold = memoryTime
+		}
 		if !t.whole() && q.recurringRequestsExplain(t, blamed) {
 			hold = min(hold, shortHold)
 		}
-		q.accuse(now, t, latest[t].Add(hold))
+		q.accuse(now, t, history[t].latest.Add(hold))
 	}
 	q.forget(now)
 }
@@ -300,17 +303,25 @@
 	return true
 }
 
-// latestCrashes returns when the latest crash was for which each trait is blamed.
-func (q *Quarantine) latestCrashes(blamed [][]Trait) map[Trait]time.Time {
-	latest := make(map[Trait]time.Time)
+// crashHistory is the number of crashes for which a trait is blamed, and the latest of them.
+type crashHistory struct {
+	crashes int
+	latest  time.Time
+}
+
+func (q *Quarantine) crashHistory(blamed [][]Trait) map[Trait]crashHistory {
+	history := make(map[Trait]crashHistory)
 	for n, traits := range blamed {
 		for _, t := range traits {
-			if at := q.crashes[n].At; at.After(latest[t]) {
-				latest[t] = at
+			h := history[t]
+			h.crashes++
+			if at := q.crashes[n].At; at.After(h.latest) {
+				h.latest = at
 			}
+			history[t] = h
 		}
 	}
-	return latest
+	return history
 }
 
 // holdTime returns how long a trait is held after the latest crash.
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -29,9 +29,11 @@
 	longHold   = time.Minute
 	holdFactor = 4
 	maxHold    = 10 * time.Minute
-	// memoryTime is how long a crash counts against a trait. It covers the crashes of
-	// several trials that are maxHold apart.
-	memoryTime = 4 * maxHold
+	// memoryTime is how long a crash counts against a trait.
+	memoryTime = 24 * time.Hour
+	// maxPartCrashes is the number of crashes of a part after which it is not tried again
+	// within memoryTime: three more than the five that may teach.
+	maxPartCrashes = 8
 	// trialTimeout is how long a trial may take until the next one may begin.
 	trialTimeout = 1500 * time.Millisecond
 	// outageTime is the time within which crashes without any output in between count as one
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -226,6 +226,32 @@
 	must.False(t, s.Check(at(50*time.Second), "svc", request(8, "deadly")).Send)
 }
 
+// crashByTrials crashes a server by each trial of the requests that next returns, until one
+// is not sent within a day. It returns the number of crashes.
+func crashByTrials(t *testing.T, next func(n int) quarantine.Traits) int {
+	q := quarantine.New(nil)
+	now := time.Duration(0)
+	for n := range 100 {
+		traits := next(n)
+		crashed(q, ident.ServerID(fmt.Sprint("s", n)), now, running(traits))
+		wait := q.Check(at(now), next(n+1)).Wait
+		if wait > 23*time.Hour {
+			return n + 1
+		}
+		now += wait
+		d := q.Check(at(now), next(n+1))
+		must.True(t, d.Send, must.Sprintf("trial %d", n))
+		q.BeginTrial(at(now), d.Trial)
+	}
+	return 100
+}
+
+// Guards against a part that crashes a server every ten minutes for ever: after the fifth
+// crash at most three requests with it may reach servers.
+func TestTrialsOfAPartEnd(t *testing.T) {
+	must.Eq(t, 8, crashByTrials(t, func(n int) quarantine.Traits { return request(ident.Fingerprint(n+1), "deadly") }))
+}
+
 // Guards against memory that grows with what callers send: prompts with many or long part
 // names, and many requests in flight at a crash.
 func TestEvidenceIsBounded(t *testing.T) {
