--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -50,7 +50,7 @@
 	history := q.crashHistory(blamed)
 	for t, weight := range weights {
 		hold := holdTime(weight)
-		if !t.whole() && history[t].crashes >= maxPartCrashes {
+		if history[t].crashes >= t.maxCrashes() {
 			hold = memoryTime
 		}
 		if !t.whole() && q.recurringRequestsExplain(t, blamed) {
@@ -303,6 +303,14 @@
 	return true
 }
 
+// maxCrashes returns the number of crashes after which the trait is not tried again.
+func (t Trait) maxCrashes() int {
+	if t.whole() {
+		return maxRequestCrashes
+	}
+	return maxPartCrashes
+}
+
 // crashHistory is the number of crashes for which a trait is blamed, and the latest of them.
 type crashHistory struct {
 	crashes int
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -31,9 +31,11 @@
 	maxHold    = 10 * time.Minute
 	// memoryTime is how long a crash counts against a trait.
 	memoryTime = 24 * time.Hour
-	// maxPartCrashes is the number of crashes of a part after which it is not tried again
-	// within memoryTime: three more than the five that may teach.
-	maxPartCrashes = 8
+	// maxPartCrashes and maxRequestCrashes are the numbers of crashes of a part and of a whole
+	// request after which it is not tried again within memoryTime: three more than the five
+	// or three that may teach.
+	maxPartCrashes    = 8
+	maxRequestCrashes = 6
 	// trialTimeout is how long a trial may take until the next one may begin.
 	trialTimeout = 1500 * time.Millisecond
 	// outageTime is the time within which crashes without any output in between count as one
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -246,6 +246,12 @@
 	return 100
 }
 
+// Guards against a request that crashes a server every ten minutes for ever: after the third
+// crash at most three copies of it may reach servers.
+func TestTrialsOfARequestEnd(t *testing.T) {
+	must.Eq(t, 6, crashByTrials(t, func(int) quarantine.Traits { return request(7) }))
+}
+
 // Guards against a part that crashes a server every ten minutes for ever: after the fifth
 // crash at most three requests with it may reach servers.
 func TestTrialsOfAPartEnd(t *testing.T) {
