decide/quarantine: other crashes do not displace the evidence against a request

Cause: 64 crashes are remembered, the latest ones.

Change: the oldest crash that has nothing in common with another is dropped first.

Evidence: TestOtherCrashesDoNotDisplaceTheEvidence failed before.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -328,10 +328,41 @@
 	c.Suspects = c.Suspects[:min(len(c.Suspects), maxSuspects)]
 	q.crashes = append(q.crashes, &c)
 	if len(q.crashes) > maxCrashes {
-		q.crashes = q.crashes[1:]
+		n := q.leastTelling()
+		q.crashes = slices.Delete(q.crashes, n, n+1)
 	}
 }
 
+// leastTelling returns the index of the oldest crash whose suspects have nothing in common
+// with those of another, or of the oldest one.
+func (q *Quarantine) leastTelling() int {
+	counts := make(map[Trait]int)
+	for _, c := range q.crashes {
+		for t := range c.traits() {
+			counts[t]++
+		}
+	}
+	return max(slices.IndexFunc(q.crashes, func(c *Crash) bool {
+		for t := range c.traits() {
+			if counts[t] > 1 {
+				return false
+			}
+		}
+		return true
+	}), 0)
+}
+
+// traits returns the traits of all suspects.
+func (c *Crash) traits() map[Trait]bool {
+	traits := make(map[Trait]bool)
+	for _, s := range c.Suspects {
+		for _, t := range s.all() {
+			traits[t] = true
+		}
+	}
+	return traits
+}
+
 // outageOf returns the number of the outage of a crash: that of the latest crash, unless
 // servers have written output since it began or much time has passed.
 func (q *Quarantine) outageOf(at time.Time) int {
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -258,6 +258,18 @@
 	must.Eq(t, 8, crashByTrials(t, func(n int) quarantine.Traits { return request(ident.Fingerprint(n+1), "deadly") }))
 }
 
+// Guards against forgetting a request that crashed several servers because many other servers
+// crashed since, each for a reason of its own.
+func TestOtherCrashesDoNotDisplaceTheEvidence(t *testing.T) {
+	q := quarantine.New(nil)
+	crashed(q, "a", 0, running(request(7)))
+	crashed(q, "b", 3*time.Second, running(request(7)))
+	for n := range 200 {
+		crashed(q, ident.ServerID(fmt.Sprint("s", n)), time.Duration(10+n)*time.Second, running(request(ident.Fingerprint(100+n))))
+	}
+	must.False(t, sent(q, 220*time.Second, request(7)))
+}
+
 // Guards against memory that grows with what callers send: prompts with many or long part
 // names, and many requests in flight at a crash.
 func TestEvidenceIsBounded(t *testing.T) {
