decide/quarantine: count what is held, not what was ever suspected

The gauges counted it all the time, so they would call for an operator long after the crash.

Change: Held counts the traits whose hold lasts.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -395,12 +395,16 @@
 	return open
 }
 
-// Accused returns the numbers of prompt parts and of whole requests under suspicion.
-func (q *Quarantine) Accused() (parts, requests int) {
-	for t := range q.accused {
-		if t.whole() {
+// Held returns the numbers of prompt parts and of whole requests that are held.
+func (q *Quarantine) Held(now time.Time) (parts, requests int) {
+	for t, a := range q.accused {
+		switch {
+		case !a.releaseAt.After(now):
+		case t.whole():
 			requests++
+		default:
+			parts++
 		}
 	}
-	return len(q.accused) - requests, requests
+	return parts, requests
 }
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -127,11 +127,11 @@
 	return state
 }
 
-// Accused returns the numbers of prompt parts and of whole requests under suspicion over
-// all services.
-func (s *Set) Accused() (parts, requests int) {
+// Held returns the numbers of prompt parts and of whole requests that are held, over all
+// services.
+func (s *Set) Held(now time.Time) (parts, requests int) {
 	for _, q := range s.byService {
-		p, r := q.Accused()
+		p, r := q.Held(now)
 		parts, requests = parts+p, requests+r
 	}
 	return parts, requests
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -325,7 +325,7 @@
 	d.attempts[r.key] = r
 	r.offeredAt, r.hasOutput, r.serverCrashed = now, false, false
 	if r.trial != (quarantine.Trait{}) {
-		d.noteEvidence(d.quarantine.BeginTrial(now, r.quarantineKey(), r.trial))
+		d.noteEvidence(now, d.quarantine.BeginTrial(now, r.quarantineKey(), r.trial))
 	}
 	d.picker.started(now, a.Server, r.id, r.query)
 	r.link = d.linkOf(a.Server)
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -161,7 +161,7 @@
 func (d *dispatch) firstOutput(now time.Time, r *activeRequest) {
 	if !r.hasOutput && r.attachTo == "" {
 		r.hasOutput = true
-		d.noteEvidence(d.quarantine.Output(now, r.quarantineKey(), r.traits))
+		d.noteEvidence(now, d.quarantine.Output(now, r.quarantineKey(), r.traits))
 		d.picker.firstOutput(now, r.lifecycle.LatestServer(), r.id, now.Sub(r.offeredAt))
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -34,7 +34,7 @@
 			Name: "anvilpoint_entry_backend_crashes_total", Help: "Attempts whose backend server crashed before the first output.",
 		}),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "anvilpoint_entry_quarantined_requests", Help: "Requests whose repeats are kept from the backend servers, or would be sent as a trial.",
+			Name: "anvilpoint_entry_quarantined_requests", Help: "Requests whose repeats are kept from the backend servers.",
 		}),
 		links: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "anvilpoint_link_closed_total", Help: "Links that ended, by reason.",
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -49,10 +49,10 @@
 	return ident.ServiceName(r.query.request("").Model)
 }
 
-// noteEvidence counts the accused requests after a change of the evidence, and sends the
+// noteEvidence counts the held requests after a change of the evidence, and sends the
 // messages of the quarantine to the linked entries.
-func (d *dispatch) noteEvidence(messages []message.Message) {
-	_, requests := d.quarantine.Accused()
+func (d *dispatch) noteEvidence(now time.Time, messages []message.Message) {
+	_, requests := d.quarantine.Held(now)
 	d.metrics.quarantined.Set(float64(requests))
 	for _, m := range messages {
 		// The mailbox drops the oldest message if it is full, so Send does not wait.
@@ -68,7 +68,7 @@
 		r.trial = decision.Trial
 		return request.NoServer{}, true
 	}
-	d.noteEvidence(d.quarantine.Refused(now, r.quarantineKey(), r.traits))
+	d.noteEvidence(now, d.quarantine.Refused(now, r.quarantineKey(), r.traits))
 	return request.NoServer{
 		Outcome:    outcome.DidNotRun(outcome.ReasonQuarantined, "the request may crash backend servers"),
 		RetryAfter: max(decision.Wait, 0), Final: !decision.Unsettled,
@@ -78,7 +78,7 @@
 // recordCrash records that the server of the current attempt crashed before any output.
 func (d *dispatch) recordCrash(now time.Time, r *activeRequest, server ident.ServerID) {
 	d.metrics.crashes.Inc()
-	d.noteEvidence(d.quarantine.Crashed(now, r.quarantineKey(), server, quarantine.Suspect{
+	d.noteEvidence(now, d.quarantine.Crashed(now, r.quarantineKey(), server, quarantine.Suspect{
 		// A sidecar offers its server no more requests than it runs at once.
 		Traits: r.traits, Began: true, Repeated: r.crashes > 1,
 	}))
@@ -91,7 +91,7 @@
 	if news {
 		messages = append(messages, m)
 	}
-	d.noteEvidence(messages)
+	d.noteEvidence(now, messages)
 }
 
 // sendToEntries sends a message to the linked entries, once to each.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -257,11 +257,11 @@
 	case getReport:
 		m.reply <- d.report(now)
 	case outputBegan:
-		d.noteEvidence(d.quarantine.Output(now, m.service, m.traits))
+		d.noteEvidence(now, d.quarantine.Output(now, m.service, m.traits))
 	case peerNotice:
 		// Entries are linked to each other, so nothing is passed on.
 		replies, _ := d.quarantine.Handle(now, m.message)
-		d.noteEvidence(replies)
+		d.noteEvidence(now, replies)
 	case getQuarantineState:
 		m.reply <- d.quarantine.State(now)
 	}
@@ -299,7 +299,7 @@
 
 // refuseQuarantined returns the refusal of a request that may crash a server.
 func (d *dispatch) refuseQuarantined(now time.Time, a admission, decision quarantine.Decision) admission {
-	d.noteEvidence(d.quarantine.Refused(now, a.service, a.traits))
+	d.noteEvidence(now, d.quarantine.Refused(now, a.service, a.traits))
 	a.status, a.retryAfter = http.StatusServiceUnavailable, d.quarantineRetryAfter(decision)
 	a.outcome = outcome.DidNotRun(outcome.ReasonQuarantined, "the request may crash backend servers")
 	return a
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -49,7 +49,7 @@
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "anvilpoint_quarantined_prompt_parts", Help: "Prompt parts that are kept from the model engines."}),
 		quarantinedRequests: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "anvilpoint_quarantined_requests", Help: "Requests whose repeats are kept from the backend servers, or would be sent as a trial."}),
+			Name: "anvilpoint_quarantined_requests", Help: "Requests whose repeats are kept from the backend servers."}),
 		rateLimited: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "anvilpoint_rate_limited_servers", Help: "Backend servers that announce how many requests a second they take."}),
 		servers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -45,14 +45,14 @@
 	})
 }
 
-// noteEvidence counts the accused after a change of the evidence, and sends the messages
+// noteEvidence counts what is held after a change of the evidence, and sends the messages
 // of the quarantine to all other entries.
-func (d *dispatch) noteEvidence(messages []message.Message) {
+func (d *dispatch) noteEvidence(now time.Time, messages []message.Message) {
 	for _, m := range messages {
 		// The mailbox drops the oldest message if it is full, so Send does not wait.
 		d.notices.Send(context.Background(), m)
 	}
-	parts, requests := d.quarantine.Accused()
+	parts, requests := d.quarantine.Held(now)
 	d.metrics.quarantined.Set(float64(parts))
 	d.metrics.quarantinedRequests.Set(float64(requests))
 }
@@ -60,7 +60,7 @@
 // recordCrash records that a server crashed before the first output of an attempt.
 func (d *dispatch) recordCrash(now time.Time, m attemptEnded) {
 	d.metrics.crashes.Inc()
-	d.noteEvidence(d.quarantine.Crashed(now, m.service, m.server, quarantine.Suspect{
+	d.noteEvidence(now, d.quarantine.Crashed(now, m.service, m.server, quarantine.Suspect{
 		Traits: m.traits, Began: m.began, Repeated: m.crashedBefore,
 	}))
 }
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -116,7 +116,7 @@
 			w.reply <- d.refuseQuarantined(now, w.admission, decision)
 		case decision.Send && d.tryAdmit(now, w, full):
 			if decision.Trial != (quarantine.Trait{}) {
-				d.noteEvidence(d.quarantine.BeginTrial(now, w.service, decision.Trial))
+				d.noteEvidence(now, d.quarantine.BeginTrial(now, w.service, decision.Trial))
 			}
 			w.waited = now.Sub(w.arrived)
 			w.reply <- w.admission
