decide/quarantine, gateway: a call in flight does not hide a stream that waited

Cause: a request whose server was about to answer clears those that only waited. Since crashes of plain services are seen, calls counted as about to be answered, because nothing tells; a call that was in flight by chance cleared the stream that had crashed the server before its head.

Change: such calls are silent suspects: held like running ones, but clearing nobody.

Evidence: TestCallInFlightDoesNotHideAStreamThatWaited fails if the call counts as about to be answered, as it did.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -94,13 +94,13 @@
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.contain(t) })
 }
 
-// began reports whether the server may have been running one of the suspects.
+// began reports whether a server was about to write an answer to one of the suspects.
 func (c *Crash) began() bool {
 	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Began })
 }
 
 // open returns the traits of the suspects without those that are shown to be sound since.
-// If the server was running some of the requests, only these are suspects.
+// If a server was about to write an answer, only that request is a suspect.
 func (c *Crash) open(known *proofs) []Trait {
 	began := c.began()
 	var open []Trait
@@ -244,17 +244,23 @@
 	return weights
 }
 
+// mayRun reports whether the server may have been running a suspect with the trait.
+func (c *Crash) mayRun(t Trait) bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return (s.Began || s.Silent) && s.contain(t) })
+}
+
 // weight returns the weight of the crash against one of the traits that may explain it.
 func (c *Crash) weight(t Trait, blamed []Trait) float64 {
 	switch {
-	case !c.began():
-		return sharedWeight
 	case !t.whole():
 		// The suspicion of a part keeps other requests waiting.
-		if slices.ContainsFunc(blamed, func(other Trait) bool { return other != t && !other.whole() }) {
+		others := slices.ContainsFunc(blamed, func(other Trait) bool { return other != t && !other.whole() })
+		if others || !c.began() {
 			return sharedWeight
 		}
 		return fullWeight
+	case !c.mayRun(t):
+		return sharedWeight
 	case c.proven[t] && !c.repeats(t):
 		return turnedWeight
 	default:
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -61,10 +61,12 @@
 // Suspect is a request that had no output at a server when the server crashed.
 type Suspect struct {
 	Traits
-	// Began reports whether the server may have been running the request: the head of a
-	// stream had arrived, so that the server was about to write the first output, or the
-	// answer is no stream, so that nothing tells.
+	// Began reports whether the head of a stream had arrived: the server was about to write
+	// the first output.
 	Began bool
+	// Silent reports whether nothing tells if the server was running the request, because
+	// its answer is no stream.
+	Silent bool
 	// Repeated reports whether the request had crashed another server before.
 	Repeated bool
 }
@@ -383,7 +385,7 @@
 }
 
 func (s Suspect) equal(other Suspect) bool {
-	return s.Began == other.Began && s.Repeated == other.Repeated && s.Traits.equal(other.Traits)
+	return s.Began == other.Began && s.Silent == other.Silent && s.Repeated == other.Repeated && s.Traits.equal(other.Traits)
 }
 
 // Crashes returns the crashes whose cause is open, for an entry that knows none.
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -76,7 +76,7 @@
 		c := Crash{Server: m.Server, At: now.Add(-m.Age)}
 		for _, one := range m.Suspects {
 			c.Suspects = append(c.Suspects, Suspect{
-				Traits: Traits{Request: one.Request, Parts: one.Parts}, Began: one.Began, Repeated: one.Repeated,
+				Traits: Traits{Request: one.Request, Parts: one.Parts}, Began: one.Began, Silent: one.Silent, Repeated: one.Repeated,
 			})
 		}
 		q := s.of(m.Service)
@@ -140,7 +140,7 @@
 func crashReport(now time.Time, service ident.ServiceName, c Crash) *message.CrashReport {
 	m := &message.CrashReport{Service: service, Server: c.Server, Age: now.Sub(c.At)}
 	for _, s := range c.Suspects {
-		m.Suspects = append(m.Suspects, message.CrashSuspect{Parts: s.Parts, Began: s.Began, Repeated: s.Repeated, Request: s.Request})
+		m.Suspects = append(m.Suspects, message.CrashSuspect{Parts: s.Parts, Began: s.Began, Repeated: s.Repeated, Request: s.Request, Silent: s.Silent})
 	}
 	return m
 }
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -22,6 +22,11 @@
 	return quarantine.Suspect{Traits: traits, Began: true}
 }
 
+// silent returns a suspect whose server does not tell whether it was running it.
+func silent(traits quarantine.Traits) quarantine.Suspect {
+	return quarantine.Suspect{Traits: traits, Silent: true}
+}
+
 // queued returns a suspect that the server had not begun to run when it crashed.
 func queued(traits quarantine.Traits) quarantine.Suspect { return quarantine.Suspect{Traits: traits} }
 
@@ -44,7 +49,7 @@
 // from server to server.
 func TestRequestWithoutPartsIsHeldAfterOneCrash(t *testing.T) {
 	q := quarantine.New(nil)
-	crashed(q, "s1", time.Second, running(request(7)))
+	crashed(q, "s1", time.Second, silent(request(7)))
 	must.False(t, sent(q, 50*time.Second, request(7)))
 	must.True(t, sent(q, time.Second, request(8)))
 }
@@ -54,10 +59,10 @@
 func TestOftenRepeatedRequestIsNotHeldForLong(t *testing.T) {
 	q := quarantine.New(nil)
 	q.Output(at(0), request(7))
-	crashed(q, "s1", time.Second, running(request(7)))
+	crashed(q, "s1", time.Second, silent(request(7)))
 	must.True(t, sent(q, 1100*time.Millisecond, request(7)))
 	q.Output(at(1200*time.Millisecond), request(8))
-	crashed(q, "s2", 1300*time.Millisecond, running(request(7)))
+	crashed(q, "s2", 1300*time.Millisecond, silent(request(7)))
 	d := q.Check(at(4400*time.Millisecond), request(7))
 	must.True(t, d.Send)
 	q.BeginTrial(at(4400*time.Millisecond), d.Trial)
@@ -70,8 +75,8 @@
 func TestRequestThatTurnedDeadlyIsHeldAfterItsRetry(t *testing.T) {
 	q := quarantine.New(nil)
 	q.Output(at(0), request(7))
-	crashed(q, "s1", time.Second, running(request(7)))
-	crashed(q, "s2", 1100*time.Millisecond, quarantine.Suspect{Traits: request(7), Began: true, Repeated: true})
+	crashed(q, "s1", time.Second, silent(request(7)))
+	crashed(q, "s2", 1100*time.Millisecond, quarantine.Suspect{Traits: request(7), Silent: true, Repeated: true})
 	must.False(t, sent(q, 50*time.Second, request(7)))
 }
 
@@ -79,7 +84,7 @@
 // refused for ever, and against trials of all of them at once that leave the cause unknown.
 func TestRequestsInFlightAtACrashReturnOneByOne(t *testing.T) {
 	q := quarantine.New(nil)
-	crashed(q, "s1", 0, running(request(7)), running(request(8)), running(request(9)))
+	crashed(q, "s1", 0, silent(request(7)), silent(request(8)), silent(request(9)))
 	must.False(t, sent(q, 50*time.Second, request(8)))
 	for _, f := range []ident.Fingerprint{8, 9} {
 		d := q.Check(at(61*time.Second), request(f))
@@ -113,6 +118,16 @@
 	must.True(t, sent(q, 9*time.Second, request(8)))
 }
 
+// Guards against a call that was in flight by chance and hides a stream that crashes the
+// server before its head, because nothing tells whether the server was running the call.
+func TestCallInFlightDoesNotHideAStreamThatWaited(t *testing.T) {
+	q := quarantine.New(nil)
+	q.Output(at(0), request(1))
+	crashed(q, "s1", time.Second, silent(request(1)), queued(request(7, "deadly")))
+	must.False(t, sent(q, 2*time.Second, request(8, "deadly")))
+	must.False(t, sent(q, 2*time.Second, request(7)))
+}
+
 // Guards against a blame of the prompt parts for crashes that one request explains.
 func TestCrashesByOneRequestDoNotAddUpAgainstItsPart(t *testing.T) {
 	q := quarantine.New(nil)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -79,8 +79,7 @@
 func (d *dispatch) recordCrash(now time.Time, r *activeRequest, server ident.ServerID) {
 	d.metrics.crashes.Inc()
 	d.noteEvidence(now, d.quarantine.Crashed(now, r.quarantineKey(), server, quarantine.Suspect{
-		// A sidecar offers its server no more requests than it runs at once.
-		Traits: r.traits, Began: true, Repeated: r.crashes > 1,
+		Traits: r.traits, Silent: true, Repeated: r.crashes > 1,
 	}))
 }
 
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -280,7 +280,7 @@
 func (c *clientRequest) endAttempt(a request.EndAttempt) {
 	c.handler.dispatch.Send(detached(c.request), attemptEnded{
 		service: c.service, server: a.Server, failed: c.serverFailed, misdirected: c.misdirected,
-		traits: c.traits, crashed: c.serverCrashed, began: c.answerBegan || c.route.Kind != record.Streaming, crashedBefore: c.crashes > 1, answeredAt: c.answeredAt,
+		traits: c.traits, crashed: c.serverCrashed, began: c.answerBegan, silent: c.route.Kind != record.Streaming, crashedBefore: c.crashes > 1, answeredAt: c.answeredAt,
 	})
 	if c.serverFailed {
 		c.handler.metrics.broken.Inc()
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -66,9 +66,9 @@
 		// misdirected reports whether the address now belongs to another server.
 		misdirected bool
 		traits      quarantine.Traits
-		// crashed reports whether the server crashed before the first output, and began
-		// whether it may have been running the request.
-		crashed, began bool
+		// crashed reports whether the server crashed before the first output, began whether
+		// the head of a stream had arrived by then, silent whether the answer is no stream.
+		crashed, began, silent bool
 		// crashedBefore reports whether the request had crashed another server before.
 		crashedBefore bool
 		// answeredAt is when an answer arrived that announces no rate, zero without one.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -61,7 +61,7 @@
 func (d *dispatch) recordCrash(now time.Time, m attemptEnded) {
 	d.metrics.crashes.Inc()
 	d.noteEvidence(now, d.quarantine.Crashed(now, m.service, m.server, quarantine.Suspect{
-		Traits: m.traits, Began: m.began, Repeated: m.crashedBefore,
+		Traits: m.traits, Began: m.began, Silent: m.silent, Repeated: m.crashedBefore,
 	}))
 }
 
--- a/internal/message/quarantine.go
+++ b/internal/message/quarantine.go
@@ -22,12 +22,14 @@
 	_ struct{} `cbor:",toarray"`
 	// Parts are the shared parts of the request's prompt.
 	Parts []ident.PromptPart
-	// Began reports whether the server may have been running the request.
+	// Began reports whether the head of a stream had arrived.
 	Began bool
 	// Repeated reports whether the request had crashed another server before.
 	Repeated bool
 	// Request is the fingerprint of the whole request.
 	Request ident.Fingerprint
+	// Silent reports whether nothing tells if the server was running the request.
+	Silent bool
 }
 
 // TraitsProven tells the other entries which traits of requests did not crash the backend
