decide/quarantine: log the beginning of a hold

Cause: a chart's first state is no transition, so the log showed when a trait was held longer, tried and cleared, and not when it was accused.

Change: the accusation is observed like a transition without From.

Evidence: TestAccusationIsObserved failed before (nothing seen).

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -87,6 +87,7 @@
 		return
 	}
 	a.lifecycle = q.machine.New(now, a)
+	q.observe(Transition{Trait: t, To: a.lifecycle.State(), Hold: a.holdTime})
 }
 
 // names reports whether the trait is one of a suspect.
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -95,6 +95,7 @@
 // task and not safe for concurrent use.
 type Quarantine struct {
 	machine *chart.Machine[*accusedTrait]
+	observe func(Transition)
 	proofs  proofs
 	crashes []*Crash
 	accused map[Trait]*accusedTrait
@@ -116,18 +117,19 @@
 }
 
 // New returns a quarantine without evidence. Observe, if not nil, is called after each
-// transition of an accused trait.
+// transition of an accused trait, the first one without From.
 func New(observe func(Transition)) *Quarantine {
-	q := &Quarantine{accused: make(map[Trait]*accusedTrait)}
+	if observe == nil {
+		observe = func(Transition) {}
+	}
+	q := &Quarantine{accused: make(map[Trait]*accusedTrait), observe: observe}
 	q.machine = chart.MustBind(charts.Must("crash-trait"), chart.Binding[*accusedTrait]{
 		Delays: map[string]func(*accusedTrait) time.Duration{
 			"holdTime":     func(a *accusedTrait) time.Duration { return a.holdTime },
 			"trialTimeout": func(*accusedTrait) time.Duration { return trialTimeout },
 		},
 		Observe: func(a *accusedTrait, t chart.Transition) {
-			if observe != nil {
-				observe(Transition{Trait: a.trait, From: t.From, To: t.To, Hold: a.holdTime})
-			}
+			observe(Transition{Trait: a.trait, From: t.From, To: t.To, Hold: a.holdTime})
 		},
 	})
 	return q
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -285,6 +285,14 @@
 	must.False(t, sent(q, 220*time.Second, request(7)))
 }
 
+// Guards against a log that shows the end of a hold and not its beginning.
+func TestAccusationIsObserved(t *testing.T) {
+	var seen []quarantine.Transition
+	q := quarantine.New(func(t quarantine.Transition) { seen = append(seen, t) })
+	crashed(q, "s1", 0, silent(request(7)))
+	must.Eq(t, []quarantine.Transition{{Trait: quarantine.Trait{Request: 7}, To: "held", Hold: time.Minute}}, seen)
+}
+
 // Guards against memory that grows with what callers send: prompts with many or long part
 // names, and many requests in flight at a crash.
 func TestEvidenceIsBounded(t *testing.T) {
