decide/quarantine: do not hold an often repeated read for long after its retry

Cause: a read that callers repeat often is in flight at many crashes. If two servers crash one after the other for another reason, its retry is broken off, too, and the quarantine took a request that crashes two servers in a row for proven guilty: held for a minute, though it had been answered a moment before. One that had waited in a queue weighed more than one that was running.

Change: a request that was answered lately is held for 3 s, then tried; three outages in a row without an answer hold it for a minute.

TestOftenRepeatedRequestIsNotHeldForLongAfterItsRetry failed before.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -14,7 +14,8 @@
 	// sharedWeight is the weight of any other crash.
 	sharedWeight = 0.5
 	// turnedWeight is the weight of a crash against a request that had been sound before. A
-	// read that callers repeat often is in flight at most crashes of another cause.
+	// read that callers repeat often is in flight at most crashes of another cause, so it
+	// takes three outages in a row, without an answer in between, to hold it for long.
 	turnedWeight = 0.4
 	// explainedMargin is by how much more evidence there is against one trait than against
 	// another if it alone explains the crashes that they share.
@@ -260,10 +261,10 @@
 			return sharedWeight
 		}
 		return fullWeight
+	case c.proven[t]:
+		return turnedWeight
 	case !c.mayRun(t):
 		return sharedWeight
-	case c.proven[t] && !c.repeats(t):
-		return turnedWeight
 	default:
 		// A request that no entry has seen answered for a minute seldom comes again within
 		// the next, so the hold costs little, however many requests share the suspicion.
