decide/quarantine, gateway: requests with other prompts have other fingerprints

Cause: the fingerprint left out the prompt parts, which are in a header. Requests with equal bodies and different prompts were one request to the quarantine: a crash by one of them kept the others back for seconds, and their crashes counted once against the part that caused them.

Change: the shared prompt parts belong to the content.

--- a/internal/decide/quarantine/fingerprint.go
+++ b/internal/decide/quarantine/fingerprint.go
@@ -7,14 +7,19 @@
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 )
 
-// Content is a digest of what a request asks of a server: its method, target and body.
+// Content is a digest of what a request asks of a server: its method, target, body and the
+// shared parts of its prompt.
 type Content [sha256.Size]byte
 
 // ContentOf returns the content of a request. A cryptographic hash keeps a client from
 // making a request that is taken for another one.
-func ContentOf(method, target string, body []byte) Content {
+func ContentOf(method, target string, body []byte, parts ...ident.PromptPart) Content {
 	h := sha256.New()
-	for _, field := range [][]byte{[]byte(method), []byte(target), body} {
+	fields := [][]byte{[]byte(method), []byte(target), body}
+	for _, p := range parts {
+		fields = append(fields, []byte(p))
+	}
+	for _, field := range fields {
 		// The length keeps the fields apart. Writes to a hash do not fail.
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(field))))
 		_, _ = h.Write(field)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -68,7 +68,7 @@
 	// The admission is awaited even if the client leaves, since it may hold a slot.
 	a, ok := task.Ask(detached(r), h.dispatch, func(reply chan<- admission) dispatchMessage {
 		m := admit{host: r.Host, path: path, timeLeft: meta.TimeLeft, parts: meta.PromptParts, reply: reply,
-			content: quarantine.ContentOf(r.Method, r.RequestURI, body)}
+			content: quarantine.ContentOf(r.Method, r.RequestURI, body, meta.PromptParts...)}
 		if meta.Key != "" {
 			m.key, m.hasKey = record.KeyHash(sha256.Sum256([]byte(meta.Key))), true
 		}
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -26,8 +26,8 @@
 // prompts name the same parts.
 type PromptPart string
 
-// Fingerprint identifies the requests of one client account that have the same method, target
-// and body. Zero means that it is not known. It must not be logged as it is, since a short
+// Fingerprint identifies the requests of one client account that have the same method, target,
+// body and shared prompt parts. Zero means that it is not known. It must not be logged as it is, since a short
 // body could be found by trying: see eventlog.RequestTags.
 type Fingerprint uint64
 
