decide/quarantine: the retry of a request counts against its parts

Cause: crashes by copies of one request count once against its parts, since the request as a whole explains them. The retry of a request that was sound before is not held, so it crashed a second server and counted against the request only; a part that had turned deadly took two more servers to be found.

Change: a crash by a retry counts against the parts, too, as it did.

TestPartOfARequestThatCrashesTwoServersIsBlamed failed before.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -184,11 +184,12 @@
 }
 
 // distinctRequests holds the requests that count against each part. A part is blamed once
-// for all crashes by one request, since the request as a whole explains them, too.
+// for all crashes by copies of one request, since the request as a whole explains them, too.
 type distinctRequests map[ident.PromptPart]map[ident.Fingerprint]bool
 
 // add reports whether the crash counts against the trait: each crash does against a whole
-// request, and one by a request that has not counted yet does against a part.
+// request; against a part one by a request that has not counted yet does, and one by the
+// retry of a request, which would not have been sent if the request were held.
 func (d distinctRequests) add(c *Crash, t Trait) bool {
 	if t.whole() {
 		return true
@@ -198,7 +199,7 @@
 		if began && !s.Began || !s.contain(t) {
 			continue
 		}
-		if s.Request == 0 || !d[t.Part][s.Request] {
+		if s.Request == 0 || s.Repeated || !d[t.Part][s.Request] {
 			news = true
 		}
 		if d[t.Part] == nil {
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -159,6 +159,17 @@
 	must.True(t, sent(q, 10*time.Second, request(2, "first")))
 }
 
+// Guards against a part that turned deadly and crashes more servers than two, because the
+// retry of one request counts against the request only, which was sound before, too.
+func TestPartOfARequestThatCrashesTwoServersIsBlamed(t *testing.T) {
+	q := quarantine.New(nil)
+	q.Output(at(0), request(7, "first", "turned"))
+	crashed(q, "s1", time.Second, queued(request(7, "first", "turned")))
+	q.Output(at(1500*time.Millisecond), request(1, "first"))
+	crashed(q, "s2", 1600*time.Millisecond, quarantine.Suspect{Traits: request(7, "first", "turned"), Repeated: true})
+	must.False(t, sent(q, 1700*time.Millisecond, request(8, "first", "turned")))
+}
+
 // Guards against a part that crashes servers and hides behind requests of which no two are
 // alike.
 func TestPartOfDifferentRequestsIsBlamed(t *testing.T) {
