decide/quarantine: the retry of a request does not blame parts proven in between

Cause: a crash by the retry of a request counted as two outages for all its parts, also for one that other requests had shown to be sound after the first crash. All requests with that first part were refused for up to 3 s.

Change: it counts as two only against what was a suspect in the first crash, too.

Evidence: TestRetryDoesNotBlameAPartThatWasProvenInBetween failed before.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -162,7 +162,8 @@
 }
 
 // countOutages counts the outages in which each trait was a suspect since it was last shown
-// to be sound. A request that crashes a second server counts as one more.
+// to be sound. A request that crashes a second server counts as one more, against what was a
+// suspect in the first crash, too.
 func (q *Quarantine) countOutages(open [][]Trait) map[Trait]int {
 	counts, latest := make(map[Trait]int), make(map[Trait]int)
 	requests := make(distinctRequests)
@@ -171,11 +172,12 @@
 			if !requests.add(c, t) {
 				continue
 			}
+			before := counts[t]
 			if c.outage != latest[t] {
 				counts[t]++
 				latest[t] = c.outage
 			}
-			if c.repeats(t) {
+			if before > 0 && c.repeats(t) {
 				counts[t]++
 			}
 		}
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -170,6 +170,17 @@
 	must.False(t, sent(q, 1700*time.Millisecond, request(8, "first", "turned")))
 }
 
+// Guards against the refusal of all requests with a common first part, which was shown to be
+// sound between the two crashes by a request that has it.
+func TestRetryDoesNotBlameAPartThatWasProvenInBetween(t *testing.T) {
+	q := quarantine.New(nil)
+	q.Output(at(0), request(7, "first", "turned"))
+	crashed(q, "s1", time.Second, queued(request(7, "first", "turned")))
+	q.Output(at(1500*time.Millisecond), request(1, "first"))
+	crashed(q, "s2", 1600*time.Millisecond, quarantine.Suspect{Traits: request(7, "first", "turned"), Repeated: true})
+	must.True(t, sent(q, 1700*time.Millisecond, request(8, "first")))
+}
+
 // Guards against a part that crashes servers and hides behind requests of which no two are
 // alike.
 func TestPartOfDifferentRequestsIsBlamed(t *testing.T) {
