soak: a read that crashes servers

The soak crashed servers by a prompt part only, which is why it did not find what the quarantine lacked. Every tenth read now has a path of its own, and one of the faults makes that read crash the server which gets it, until the end of the run; at most six crashes and one for each incarnation and interruption of an entry are allowed.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -21,8 +21,10 @@
 	// maxPauseArrivals how many may reach it from then to the end of the pause.
 	maxPauseLag      = 500 * time.Millisecond
 	maxPauseArrivals = 2
-	// maxCrashes is how often a prompt part may crash a server until all entries know it.
-	maxCrashes = 5
+	// maxCrashes is how often a prompt part may crash a server until all entries know it,
+	// maxReadCrashes how often a read may: three that teach and three more.
+	maxCrashes     = 5
+	maxReadCrashes = 6
 )
 
 // checks collects the violations of the system's guarantees in a record.
@@ -74,23 +76,29 @@
 	}
 }
 
-// crashes guards against a prompt part that crashes one server after the other: each entry
-// may learn of it once in each incarnation, and once more for each interruption, and some
-// requests are on their way when the first crash happens.
+// crashes guards against a prompt part or a read that crashes one server after the other:
+// each entry may learn of it once in each incarnation, and once more for each interruption,
+// and some requests are on their way when the first crash happens.
 func (c *checks) crashes() {
-	crashes, allowed := 0, maxCrashes
+	byPart, byRead, interruptions := 0, 0, 0
 	for _, x := range c.record.arrivals {
 		if x.deadly {
-			crashes++
+			byPart++
+		}
+		if x.deadlyRead {
+			byRead++
 		}
 	}
 	for n := range entryCount {
 		for _, in := range c.incarnations(fmt.Sprint("entry-", n)) {
-			allowed += 1 + len(in.interruptions)
+			interruptions += 1 + len(in.interruptions)
 		}
 	}
-	if crashes > allowed {
-		c.failf("requests with one prompt part crashed servers %d times; %d are allowed", crashes, allowed)
+	if allowed := maxCrashes + interruptions; byPart > allowed {
+		c.failf("requests with one prompt part crashed servers %d times; %d are allowed", byPart, allowed)
+	}
+	if allowed := maxReadCrashes + interruptions; byRead > allowed {
+		c.failf("one read crashed servers %d times; %d are allowed", byRead, allowed)
 	}
 }
 
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -59,7 +59,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { x.connected = true },
 	})
-	r := platformtest.NewRequest(c.t, method, e.listen, "own.example", "/"+kind+"/x", id, "key-1", "")
+	r := platformtest.NewRequest(c.t, method, e.listen, "own.example", pathOf(kind, id), id, "key-1", "")
 	if kind == "streaming" {
 		c.setPrompt(r, id)
 	}
@@ -77,12 +77,24 @@
 	return x
 }
 
+func hash(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // A hash never returns an error.
+	return h.Sum32()
+}
+
+// pathOf returns the path of a request. Every tenth read is the one that can crash servers.
+func pathOf(kind, id string) string {
+	if kind == "safe" && hash(id)%10 == 0 {
+		return deadlyPath
+	}
+	return "/" + kind + "/x"
+}
+
 // setPrompt gives every request one of a few first parts, and every tenth the part that can
 // crash servers.
 func (c *cluster) setPrompt(r *http.Request, id string) {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id)) // A hash never returns an error.
-	n := h.Sum32()
+	n := hash(id)
 	parts := []string{fmt.Sprint("first-", n%promptKinds)}
 	if n%10 == 0 {
 		parts = append(parts, deadlyPart)
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -30,8 +30,10 @@
 	eventInterval = 15 * time.Millisecond
 	// pauseTime is how long a server that turned a request away wants no others.
 	pauseTime = 1500 * time.Millisecond
-	// deadlyPart is a prompt part that can crash servers, crashTime how long one is down.
+	// deadlyPart is a prompt part and deadlyPath the path of a read that can crash servers,
+	// crashTime is how long one is down.
 	deadlyPart = "deadly"
+	deadlyPath = "/safe/deadly"
 	crashTime  = 500 * time.Millisecond
 	// bootHeader is a header of the stand-ins' answers that names the server's process.
 	bootHeader = "Soak-Boot"
@@ -61,6 +63,8 @@
 	engines    *platformtest.EngineGroup
 	// deadly reports whether requests with deadlyPart crash the server that gets them.
 	deadly atomic.Bool
+	// deadlyRead reports whether the read of deadlyPath does.
+	deadlyRead atomic.Bool
 	// version is the newest published configuration.
 	version int
 	// logs is the folder of the settings and logs of the processes.
@@ -226,8 +230,9 @@
 	mode := s.mode.Load()
 	x.turnedAway = mode == modeTurnAway
 	x.deadly = c.deadly.Load() && platformtest.HasPromptPart(r, deadlyPart)
+	x.deadlyRead = c.deadlyRead.Load() && r.URL.Path == deadlyPath
 	c.recorder.arrived(x)
-	if x.deadly {
+	if x.deadly || x.deadlyRead {
 		s.proxy.crash(crashTime)
 		platformtest.DropConnection(rw, r)
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -46,7 +46,7 @@
 func (i *injector) pickKinds() []func() {
 	kinds := []func(){
 		i.entryFault, i.rankFault, i.serverConnectionFault, i.storeConnectionFault, i.storeOutage, i.serverMode,
-		i.drainServer, i.publish, i.publishOlder, i.changeHotExpert, i.engineConnectionFault, i.poison,
+		i.drainServer, i.publish, i.publishOlder, i.changeHotExpert, i.engineConnectionFault, i.poison, i.poisonRead,
 		i.restoreStore,
 	}
 	i.random.Shuffle(len(kinds), func(a, b int) { kinds[a], kinds[b] = kinds[b], kinds[a] })
@@ -61,6 +61,7 @@
 		time.Sleep(i.between(minInterval, maxInterval))
 	}
 	i.cluster.deadly.Store(false)
+	i.cluster.deadlyRead.Store(false)
 	return i.undo.Stop(10 * time.Second)
 }
 
@@ -198,5 +199,8 @@
 
 func (i *injector) changeHotExpert() { i.cluster.engines.SetHotExpert(i.random.IntN(expertCount)) }
 
+// poisonRead makes a read deadly until the end of the run.
+func (i *injector) poisonRead() { i.cluster.deadlyRead.Store(true) }
+
 // poison makes a prompt part deadly until the end of the run.
 func (i *injector) poison() { i.cluster.deadly.Store(true) }
--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -37,8 +37,9 @@
 	at   time.Time
 	// turnedAway reports whether the server answered that it wants no request for pauseTime.
 	turnedAway bool
-	// deadly reports whether the request crashed the server.
-	deadly bool
+	// deadly and deadlyRead report whether the request crashed the server by a part of its
+	// prompt or as a whole.
+	deadly, deadlyRead bool
 }
 
 // result is what a client saw of one request.
