decide/quarantine: assess large evidence in time

Cause: an assessment searched all suspects of all crashes for each trait. At the bounds (64 crashes, 64 suspects with 16 parts each) one report took seconds, in which the entry admits nothing; callers choose the number of parts.

Change: what depends on the suspects only is computed once per report, the crashes of each trait are collected in one pass, and the bounds are 32 suspects with 8 parts.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -51,10 +51,10 @@
 	history := q.crashHistory(blamed)
 	for t, weight := range weights {
 		hold := holdTime(weight)
-		if history[t].crashes >= t.maxCrashes() {
+		if len(history[t].crashes) >= t.maxCrashes() {
 			hold = memoryTime
 		}
-		if !t.whole() && q.recurringRequestsExplain(t, blamed) {
+		if !t.whole() && q.recurringRequestsExplain(t, history[t].crashes) {
 			hold = min(hold, shortHold)
 		}
 		q.accuse(now, t, history[t].latest.Add(hold))
@@ -91,31 +91,36 @@
 	q.observe(Transition{Trait: t, To: a.lifecycle.State(), Hold: a.holdTime})
 }
 
-// names reports whether the trait is one of a suspect.
-func (c *Crash) names(t Trait) bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.contain(t) })
-}
-
-// began reports whether a server was about to write an answer to one of the suspects.
-func (c *Crash) began() bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Began })
+// index computes what depends on the suspects only.
+func (c *Crash) index() {
+	c.began = slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Began })
+	c.uses, c.blamable = make(map[Trait]*traitUse), nil
+	for _, s := range c.Suspects {
+		for _, t := range s.all() {
+			u := c.uses[t]
+			if u == nil {
+				u = new(traitUse)
+				c.uses[t] = u
+			}
+			u.mayRun = u.mayRun || s.Began || s.Silent
+			u.repeated = u.repeated || s.Repeated
+			if c.began && !s.Began {
+				continue
+			}
+			if len(u.suspects) == 0 {
+				c.blamable = append(c.blamable, t)
+			}
+			u.suspects = append(u.suspects, s)
+		}
+	}
 }
 
-// open returns the traits of the suspects without those that are shown to be sound since.
-// If a server was about to write an answer, only that request is a suspect.
+// open returns the blamable traits without those that are shown to be sound since.
 func (c *Crash) open(known *proofs) []Trait {
-	began := c.began()
 	var open []Trait
-	seen := make(map[Trait]bool)
-	for _, s := range c.Suspects {
-		if began && !s.Began {
-			continue
-		}
-		for _, t := range s.all() {
-			if !seen[t] && !known.since(t, c.At.Add(proofLag)) {
-				open = append(open, t)
-			}
-			seen[t] = true
+	for _, t := range c.blamable {
+		if !known.since(t, c.At.Add(proofLag)) {
+			open = append(open, t)
 		}
 	}
 	return open
@@ -123,11 +128,9 @@
 
 // noteProofs records which traits of the suspects were shown to be sound at any time.
 func (c *Crash) noteProofs(known *proofs) {
-	for _, s := range c.Suspects {
-		for _, t := range s.all() {
-			if _, ok := known.latest(t); ok {
-				c.proven[t] = true
-			}
+	for t := range c.uses {
+		if _, ok := known.latest(t); ok {
+			c.proven[t] = true
 		}
 	}
 }
@@ -177,7 +180,7 @@
 				counts[t]++
 				latest[t] = c.outage
 			}
-			if before > 0 && c.repeats(t) {
+			if before > 0 && c.uses[t].repeated {
 				counts[t]++
 			}
 		}
@@ -196,11 +199,8 @@
 	if t.whole() {
 		return true
 	}
-	began, news := c.began(), false
-	for _, s := range c.Suspects {
-		if began && !s.Began || !s.contain(t) {
-			continue
-		}
+	news := false
+	for _, s := range c.uses[t].suspects {
 		if s.Request == 0 || s.Repeated || !d[t.Part][s.Request] {
 			news = true
 		}
@@ -212,11 +212,6 @@
 	return news
 }
 
-// repeats reports whether the trait is one of a request that had crashed a server before.
-func (c *Crash) repeats(t Trait) bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Repeated && s.contain(t) })
-}
-
 // weigh returns the evidence against each blamed trait: the sum over the outages of the
 // greatest weight of a crash.
 func (q *Quarantine) weigh(blamed [][]Trait) map[Trait]float64 {
@@ -249,24 +244,19 @@
 	return weights
 }
 
-// mayRun reports whether the server may have been running a suspect with the trait.
-func (c *Crash) mayRun(t Trait) bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return (s.Began || s.Silent) && s.contain(t) })
-}
-
 // weight returns the weight of the crash against one of the traits that may explain it.
 func (c *Crash) weight(t Trait, blamed []Trait) float64 {
 	switch {
 	case !t.whole():
 		// The suspicion of a part keeps other requests waiting.
 		others := slices.ContainsFunc(blamed, func(other Trait) bool { return other != t && !other.whole() })
-		if others || !c.began() {
+		if others || !c.began {
 			return sharedWeight
 		}
 		return fullWeight
 	case c.proven[t]:
 		return turnedWeight
-	case !c.mayRun(t):
+	case !c.uses[t].mayRun:
 		return sharedWeight
 	default:
 		// A request that no entry has seen answered for a minute seldom comes again within
@@ -296,16 +286,9 @@
 
 // recurringRequestsExplain reports whether all crashes for which the part is blamed are by
 // requests that came again since. Requests that only share the part do not.
-func (q *Quarantine) recurringRequestsExplain(part Trait, blamed [][]Trait) bool {
-	for n, traits := range blamed {
-		if !slices.Contains(traits, part) {
-			continue
-		}
-		c := q.crashes[n]
-		for _, s := range c.Suspects {
-			if c.began() && !s.Began || !s.contain(part) {
-				continue
-			}
+func (q *Quarantine) recurringRequestsExplain(part Trait, crashes []*Crash) bool {
+	for _, c := range crashes {
+		for _, s := range c.uses[part].suspects {
 			if a := q.accused[Trait{Request: s.Request}]; a == nil || a.recurrences < recurrencesToExplain {
 				return false
 			}
@@ -322,9 +305,9 @@
 	return maxPartCrashes
 }
 
-// crashHistory is the number of crashes for which a trait is blamed, and the latest of them.
+// crashHistory holds the crashes for which a trait is blamed, and when the latest was.
 type crashHistory struct {
-	crashes int
+	crashes []*Crash
 	latest  time.Time
 }
 
@@ -333,7 +316,7 @@
 	for n, traits := range blamed {
 		for _, t := range traits {
 			h := history[t]
-			h.crashes++
+			h.crashes = append(h.crashes, q.crashes[n])
 			if at := q.crashes[n].At; at.After(h.latest) {
 				h.latest = at
 			}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -53,9 +53,10 @@
 	// settleTime is how long after a crash the reports and proofs of other entries may
 	// still arrive.
 	settleTime = 300 * time.Millisecond
-	// maxCrashes bounds the crashes that are remembered, maxSuspects the suspects of each.
+	// maxCrashes bounds the crashes that are remembered, maxSuspects the suspects of each. An
+	// assessment reads all their traits.
 	maxCrashes  = 64
-	maxSuspects = 64
+	maxSuspects = 32
 )
 
 // Suspect is a request that had no output at a server when the server crashed.
@@ -81,6 +82,22 @@
 	proven map[Trait]bool
 	// outage numbers the outage in which the server crashed.
 	outage int
+	// uses holds how the suspects have each of their traits. It is computed by index.
+	uses map[Trait]*traitUse
+	// blamable are the traits of the suspects that count: if a server was about to write an
+	// answer, only that request does.
+	blamable []Trait
+	// began reports whether a server was about to write an answer to one of the suspects.
+	began bool
+}
+
+// traitUse is how the suspects of a crash have a trait.
+type traitUse struct {
+	// mayRun reports whether the server may have been running a suspect with the trait,
+	// repeated whether one had crashed another server before.
+	mayRun, repeated bool
+	// suspects are those that count.
+	suspects []Suspect
 }
 
 // Transition is a change of the state of an accused trait, for the log.
@@ -258,7 +275,7 @@
 // suspected reports whether a crash is remembered to which the trait may be the key, and no
 // output since has shown that it is sound.
 func (q *Quarantine) suspected(t Trait) bool {
-	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.names(t) && !q.proofs.since(t, c.At.Add(proofLag)) })
+	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.uses[t] != nil && !q.proofs.since(t, c.At.Add(proofLag)) })
 }
 
 // AddCrash records a crash that this entry or another one reports. It returns this entry's
@@ -325,11 +342,13 @@
 				known.Suspects = append(known.Suspects, s)
 			}
 		}
+		known.index()
 		return
 	}
 	c.outage = q.outageOf(c.At)
 	c.proven = make(map[Trait]bool)
 	c.Suspects = c.Suspects[:min(len(c.Suspects), maxSuspects)]
+	c.index()
 	q.crashes = append(q.crashes, &c)
 	if len(q.crashes) > maxCrashes {
 		n := q.leastTelling()
@@ -342,12 +361,12 @@
 func (q *Quarantine) leastTelling() int {
 	counts := make(map[Trait]int)
 	for _, c := range q.crashes {
-		for t := range c.traits() {
+		for t := range c.uses {
 			counts[t]++
 		}
 	}
 	return max(slices.IndexFunc(q.crashes, func(c *Crash) bool {
-		for t := range c.traits() {
+		for t := range c.uses {
 			if counts[t] > 1 {
 				return false
 			}
@@ -356,17 +375,6 @@
 	}), 0)
 }
 
-// traits returns the traits of all suspects.
-func (c *Crash) traits() map[Trait]bool {
-	traits := make(map[Trait]bool)
-	for _, s := range c.Suspects {
-		for _, t := range s.all() {
-			traits[t] = true
-		}
-	}
-	return traits
-}
-
 // outageOf returns the number of the outage of a crash: that of the latest crash, unless
 // servers have written output since it began or much time has passed.
 func (q *Quarantine) outageOf(at time.Time) int {
--- a/internal/decide/quarantine/trait.go
+++ b/internal/decide/quarantine/trait.go
@@ -19,7 +19,7 @@
 
 const (
 	// maxParts is the number of prompt parts of a request that are traits of it.
-	maxParts = 16
+	maxParts = 8
 	// maxPartBytes is the size of the longest id of a part that is a trait.
 	maxPartBytes = 64
 )
@@ -57,13 +57,6 @@
 	return list
 }
 
-func (t Traits) contain(one Trait) bool {
-	if one.whole() {
-		return t.Request == one.Request
-	}
-	return slices.Contains(t.Parts, one.Part)
-}
-
 func (t Traits) equal(other Traits) bool {
 	return t.Request == other.Request && slices.Equal(t.Parts, other.Parts)
 }
