--- a/review/_standin/deadly.go
+++ b/review/_standin/deadly.go
@@ -19,9 +19,10 @@
 	const (
 		service  = "huvo11a"
 		events   = 8
-		clients  = 60
+		clients  = 150
 		duration = 30 * time.Second
-		interval = 500 * time.Millisecond
+		interval = time.Second
+		atOnce   = 2
 		backIn   = 3 * time.Second
 	)
 	s, err := w.newStore()
@@ -88,12 +89,15 @@
 	begin := time.Now()
 	end := begin.Add(duration)
 	for n := 0; time.Now().Before(end); n++ {
-		if w.trouble {
+		for k := range atOnce {
+			if !w.trouble {
+				break
+			}
 			group.Add(1)
 			go func() {
 				defer group.Done()
-				id := fmt.Sprintf("d-%04d", n)
-				w.callWith(newClient(8*time.Second), entries[n%len(entries)], "POST", "/lohu930/2f", id, []byte(id), 8*time.Second, deadlyPart+":40,91bd3f06:40,"+id[2:]+":600")
+				id := fmt.Sprintf("d-%04d-%d", n, k)
+				w.callWith(newClient(8*time.Second), entries[(n+k)%len(entries)], "POST", "/lohu930/2f", id, []byte(id), 8*time.Second, deadlyPart+":40,91bd3f06:40,"+id[2:]+":600")
 			}()
 		}
 		time.Sleep(interval)
