--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 )
 
 // cases are the plays, by name. Each returns whether the rule was broken.
@@ -26,6 +28,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	// A case that is stopped early ends its processes too.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		w.say("the case was stopped")
+		w.close()
+		os.Exit(2)
+	}()
 	broken, err := cases[os.Args[1]](w)
 	status := 0
 	switch {
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -294,8 +294,8 @@
 type store struct {
 	world   *world
 	address string
-	// cut returns after how long a watch that waits is cut. Nil means never.
-	cut func() time.Duration
+	// cut returns after how long a watch that waits is cut, and whether it is. Nil means never.
+	cut func() (time.Duration, bool)
 
 	mutex    sync.Mutex
 	revision uint64
@@ -396,7 +396,9 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	var cut <-chan time.Time
 	if s.cut != nil {
-		cut = time.After(s.cut())
+		if after, cuts := s.cut(); cuts {
+			cut = time.After(after)
+		}
 	}
 	for {
 		events := []item{}
