--- a/review/_standin/memory.go
+++ b/review/_standin/memory.go
@@ -127,14 +127,13 @@
 	upload("usual", usual, stop)
 	time.Sleep(5 * time.Second)
 	for burst := range 2 {
+		over := make(chan struct{})
 		if w.trouble {
-			over := make(chan struct{})
 			w.note("burst begins")
 			upload(fmt.Sprintf("burst%d", burst), int(usual*(burstFactor-1)), over)
-			time.Sleep(burstLength)
-			close(over)
-			w.note("burst ends")
 		}
+		time.Sleep(burstLength)
+		close(over)
 		time.Sleep(4 * time.Second)
 	}
 	close(stop)
--- a/review/_standin/watchcut.go
+++ b/review/_standin/watchcut.go
@@ -9,9 +9,9 @@
 )
 
 // watchCut replaces replicas one after the other. The old one's entry is removed from the
-// store without a report of draining, and it serves on for five seconds. The disruption: the
-// store cuts watches that wait, each at a random time, for thirty seconds. The rule: no request reaches a
-// replica later than drainMs after the store's ack of its removal.
+// store without a report of draining, and it serves on for five seconds. The disruption: for
+// thirty seconds, the store cuts watches that wait, each at a random time. The rule: no
+// request reaches a replica later than drainMs after the store's ack of its removal.
 func watchCut(w *world) (bool, error) {
 	const (
 		service      = "wuno96b"
@@ -19,7 +19,7 @@
 		replacements = 14
 		// Watches are cut from this replacement on.
 		firstCut   = 3
-		cutsLast     = 30 * time.Second
+		cutsLast   = 30 * time.Second
 		longestCut = time.Second
 		gap        = 3 * time.Second
 		servesOn   = 5 * time.Second
