review: case 5, a late order of a leader that was killed

A pass begins with two expert maps (MAP): the leader gives a change up, its `go` gets no answer, it is killed, its successor commits the change with the same step, and the late `go` is carried out between the first arm and the last.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -10,7 +10,7 @@
 
 // cases are the plays, by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"watch-cut": watchCut, "memory": memory, "deadly": deadly, "truncated": truncated,
+	"watch-cut": watchCut, "memory": memory, "deadly": deadly, "truncated": truncated, "late-order": lateOrder,
 }
 
 func main() {
