mapchange: the engine of rank 0 decides whether a change is committed

Cause: a leader that gives a change up orders the engine of rank 0 to go on. If the order is carried out late and the leader is killed, its successor finds the engine held and the map prepared everywhere, takes the change for one that may be committed, and commits it; the old order then releases the engine while only some ranks have armed. Nothing in the engines told a change that was given up from one that was committed.

Change: the engine of rank 0 arms a change before any other engine does, which commits it, or prepares a later version with the map in use, which revokes it: it then refuses to arm the change. The leader releases the engine only of changes that are complete or revoked, also where it finds the engine held while it watches or prepares. A successor completes what some rank has armed and revokes what else holds the engine. Versions start at the incarnation of the leader, since two leaders could use one version for two maps when no agent had learned of the first one's.

Conclusion: the decision stands where the orders are carried out, so no order that a dead leader left behind can contradict it.

--- a/internal/decide/mapchange/leader.go
+++ b/internal/decide/mapchange/leader.go
@@ -35,9 +35,9 @@
 	// runs. A holder's machine has frozen 2 to 4 ms after the hold, and the step is tens
 	// of milliseconds ahead.
 	settleTime = 8 * time.Millisecond
-	// releaseResendInterval is the time between two orders to release the leader's
-	// engine, which answers within a few milliseconds.
-	releaseResendInterval = 40 * time.Millisecond
+	// ownOrderResendInterval is the time between two orders to the leader's own engine,
+	// which answers within a few milliseconds.
+	ownOrderResendInterval = 40 * time.Millisecond
 	// assistTimeout is how long a rank may take to carry out a commit before the leader
 	// orders its engine directly. All streams of the group wait meanwhile, and a healthy
 	// agent needs about 10 ms.
@@ -77,16 +77,27 @@
 	version   Version
 	step      uint64
 	expertMap placement.Map
+	// mapBefore is the map in use when the change was proposed, nil for a change of an
+	// earlier leader.
+	mapBefore placement.Map
+	// lastVersion is the greatest version that this leader has used.
+	lastVersion Version
+	// revocation is the version from which on a map that the engine of rank 0 prepares
+	// revokes the change, and revocationOrdered the version that it is ordered to prepare.
+	revocation, revocationOrdered Version
+	// settledStep is the step of the last change that is complete or revoked.
+	settledStep uint64
 	// lastStep is the greatest step that a change in this formation may have used. No
 	// step is used twice, since a late order to release the engine for the first change
-	// would release it for the second.
+	// would release it for the second. A step that an earlier leader used is taken over
+	// only with the change that it committed, which is released once complete.
 	lastStep uint64
 	// commandsSent is when the ranks were last sent commands.
 	commandsSent time.Time
 	// released is true once the leader's engine has accepted the release, and
-	// releaseSent is when the leader last sent a release.
-	released    bool
-	releaseSent time.Time
+	// ownOrderSent is when the leader last sent an order to its engine.
+	released     bool
+	ownOrderSent time.Time
 	// countRanks is how many ranks one heartbeat asks for expert counts, and
 	// nextCountRank the first that the next heartbeat asks.
 	countRanks    int
@@ -116,13 +127,18 @@
 
 var leaderChart = chart.MustBind(charts.Must("map-leader"), chart.Binding[*Leader]{
 	Guards: map[string]func(*Leader) bool{
-		"mayBeCommitted": (*Leader).mayBeCommitted,
+		"committed":      (*Leader).committed,
+		"engineHeld":     func(l *Leader) bool { return l.heldStep() != 0 },
 		"someUnfinished": func(l *Leader) bool { return l.anyStatus(unfinished) },
 	},
 	Actions: map[string]func(*Leader){
-		"adoptHeld":       (*Leader).adoptHeld,
+		"adoptCommitted":  (*Leader).adoptCommitted,
 		"adoptUnfinished": (*Leader).adoptUnfinished,
 		"chooseStep":      (*Leader).chooseStep,
+		"chooseRevocation": func(l *Leader) {
+			l.revocation = l.takeVersion()
+			l.revocationOrdered = l.revocation
+		},
 	},
 	Delays: map[string]func(*Leader) time.Duration{
 		"prepareTimeout": func(*Leader) time.Duration { return prepareTimeout },
@@ -132,33 +148,39 @@
 	},
 	Observe: func(l *Leader, t chart.Transition) {
 		l.commandsSent, l.stateEntered = time.Time{}, l.now
-		l.released, l.releaseSent = false, time.Time{}
+		l.released, l.ownOrderSent = false, time.Time{}
 		for i := range l.ranks {
 			l.ranks[i].armed, l.ranks[i].armSent, l.ranks[i].mapSent = false, time.Time{}, time.Time{}
 		}
+		if t.To == "watching" {
+			l.settledStep = l.step
+		}
 		if t.From != t.To {
 			l.actions = append(l.actions, Notice{Name: "map.leader-" + t.To, Version: l.version, Step: l.step, Detail: "from " + t.From + " on " + t.Event})
 		}
 	},
 })
 
-// held returns the version and step for which the engine of rank 0 is held, or zeros.
-func (l *Leader) held() (version Version, step uint64) {
-	if len(l.ranks) == 0 || l.ranks[0].status.Held == 0 {
-		return 0, 0
+// heldStep returns the step before which the engine of rank 0 is held, or zero.
+func (l *Leader) heldStep() uint64 {
+	if len(l.ranks) == 0 {
+		return 0
 	}
-	s := l.ranks[0].status
-	return max(s.Armed, s.Prepared), s.Held
+	return l.ranks[0].status.Held
 }
 
-// mayBeCommitted reports whether an earlier leader may have committed the change for
-// which the engine of rank 0 is held. It can have committed only a change that all
-// ranks had prepared, and such a change can be completed.
-func (l *Leader) mayBeCommitted() bool {
-	version, _ := l.held()
-	return version != 0 && l.allStatuses(func(s Status) bool { return s.Prepared == version || s.Armed == version })
+// armedVersion returns the version that some rank has armed and does not use yet, or zero.
+func (l *Leader) armedVersion() (version Version) {
+	for _, r := range l.ranks {
+		version = max(version, r.status.Armed)
+	}
+	return version
 }
 
+// committed reports whether the change for which the engine of rank 0 is held is
+// committed. Its leader had that engine armed before any other.
+func (l *Leader) committed() bool { return l.heldStep() != 0 && l.armedVersion() != 0 }
+
 func unfinished(s Status) bool { return s.Phase != Idle || s.Held != 0 }
 
 // NewLeader returns a leader that leads no formation yet.
@@ -197,7 +219,8 @@
 	if l.group != group || l.epoch != epoch || l.size != size {
 		l.group, l.epoch, l.size = group, epoch, size
 		l.ranks = make([]rankView, size)
-		l.version, l.step, l.lastStep, l.expertMap = 0, 0, 0, nil
+		l.version, l.step, l.lastStep, l.expertMap, l.mapBefore = 0, 0, 0, nil, nil
+		l.lastVersion, l.settledStep = 0, 0
 		l.stepTime, l.observedStep = 0, 0
 		l.fire("reset")
 	}
@@ -220,19 +243,33 @@
 	if !l.Ready() {
 		return l.take()
 	}
-	highest := l.version
-	for _, r := range l.ranks {
-		highest = max(highest, r.status.HighestVersion)
-	}
-	if highest > l.version {
+	if l.highestVersion() > l.lastVersion {
 		l.skipAnnounced()
 	}
-	l.version, l.step, l.expertMap = highest+1, 0, m
+	l.mapBefore = mapOf(l.Statuses())
+	l.version, l.step, l.expertMap = l.takeVersion(), 0, m
 	l.fire("propose")
 	l.command()
 	return l.take()
 }
 
+// highestVersion returns the greatest version that a rank knows.
+func (l *Leader) highestVersion() (highest Version) {
+	for _, r := range l.ranks {
+		highest = max(highest, r.status.HighestVersion)
+	}
+	return highest
+}
+
+// takeVersion returns a version that is greater than those of all earlier changes. Orders
+// of an earlier leader may be carried out late, and under one version the engines would
+// then prepare two maps. Versions therefore start at the incarnation of the leader, which
+// is greater than all versions of earlier ones.
+func (l *Leader) takeVersion() Version {
+	l.lastVersion = max(l.lastVersion, l.highestVersion(), Version(l.incarnation)) + 1
+	return l.lastVersion
+}
+
 // Receive takes a rank's status.
 func (l *Leader) Receive(now time.Time, s Status) []Action {
 	l.now = now
@@ -262,7 +299,7 @@
 		l.command()
 		l.armUnresponsive()
 	}
-	l.release()
+	l.orderOwnEngine()
 	return l.take()
 }
 
@@ -301,7 +338,7 @@
 			return
 		}
 		l.command()
-		l.release()
+		l.orderOwnEngine()
 	}
 }
 
@@ -317,7 +354,9 @@
 			l.fire("collect")
 		}
 	case "preparing":
-		if l.allStatuses(func(s Status) bool { return s.Version == l.version && s.Phase == Prepared }) {
+		if l.strayHold() {
+			l.fire("collect")
+		} else if l.allStatuses(func(s Status) bool { return s.Version == l.version && s.Phase == Prepared }) {
 			l.fire("allPrepared")
 		}
 	case "holding":
@@ -332,6 +371,17 @@
 		if holder := l.ranks[l.holder()].status; holder.Version == l.version && holder.Phase == Confirmed {
 			l.fire("confirmed")
 		}
+	case "deciding":
+		if l.ranks[0].status.Armed == l.version {
+			l.fire("committed")
+		}
+	case "revoking":
+		switch engine := l.ranks[0].status; {
+		case l.committed():
+			l.fire("committed")
+		case engine.Prepared >= l.revocation || engine.Held == 0 && engine.CurrentStep >= l.step:
+			l.fire("revoked")
+		}
 	case "committing":
 		if !slices.ContainsFunc(l.ranks, func(r rankView) bool { return !l.hasArmed(r) }) {
 			l.fire("allArmed")
@@ -416,9 +466,10 @@
 	return version, step
 }
 
-// adoptHeld continues the change that an earlier leader may have committed.
-func (l *Leader) adoptHeld() {
-	l.version, l.step = l.held()
+// adoptCommitted continues the change that some rank has armed.
+func (l *Leader) adoptCommitted() {
+	l.version, l.step = l.armedVersion(), l.heldStep()
+	l.expertMap, l.mapBefore = nil, nil
 	l.skipAnnounced()
 }
 
@@ -426,14 +477,15 @@
 // not commit.
 func (l *Leader) adoptUnfinished() {
 	l.version, _ = l.unfinished()
-	_, l.step = l.held()
+	l.step = l.heldStep()
+	l.expertMap, l.mapBefore = nil, nil
 	l.skipAnnounced()
 }
 
 // command sends the ranks the commands of the leader's current state.
 func (l *Leader) command() {
 	l.commandsSent = l.now
-	if l.lifecycle.In("settling") || l.lifecycle.In("releasing") {
+	if l.lifecycle.In("settling") || l.lifecycle.In("deciding") || l.lifecycle.In("releasing") {
 		// Nothing is asked of the ranks, and the next state comes within milliseconds. A
 		// heartbeat would fill the leader's link for as long.
 		return
@@ -449,7 +501,7 @@
 	case "committing":
 		c.Kind = Commit
 		invariant.Check(l.version != 0, "a commit has a version", "step %d", l.step)
-	case "aborting":
+	case "revoking", "aborting":
 		c.Kind = Abort
 	}
 	for i, r := range l.ranks {
--- a/internal/decide/mapchange/mapchange_test.go
+++ b/internal/decide/mapchange/mapchange_test.go
@@ -94,7 +94,7 @@
 	r := mapchange.NewRank(now)
 	engine := mapchange.EngineState{Group: "g", Epoch: 1, Rank: 3, Size: 4, Open: true, Step: 10}
 	r.Observe(now, engine)
-	command := mapchange.Command{Kind: mapchange.Prepare, Leader: 7, Group: "g", Epoch: 1, Version: 1, Map: oneLayer(4)}
+	command := mapchange.Command{Kind: mapchange.Prepare, Leader: 7, Group: "g", Epoch: 1, Version: 1, Map: oneLayer(4, 0)}
 	r.Receive(now, 1, command)
 	engine.Prepared = 1
 	r.Observe(now, engine)
--- a/internal/decide/mapchange/message.go
+++ b/internal/decide/mapchange/message.go
@@ -5,11 +5,19 @@
 //
 // The agent of rank 0 leads. First every rank prepares the map. Then one other rank,
 // the holder, orders the engine of rank 0 to stop before an agreed step, and confirms
-// that it is still running. Then the change is committed: each rank arms the map for
-// that step, and the leader releases the engine of rank 0 once all ranks have armed.
-// The group begins no step without the engine of rank 0, so all ranks have armed
-// before the step begins. No rank arms an uncommitted change, and a committed change
-// is always completed.
+// that it is still running. Then the leader orders the engine of rank 0 to arm the map
+// for that step, which commits the change: each other rank arms it, too, and the leader
+// releases the engine of rank 0 once all have. The group begins no step without the
+// engine of rank 0, so all ranks have armed before the step begins. No other rank arms
+// an uncommitted change, and a committed change is always completed.
+//
+// Agents may be killed at any moment, and nothing that they know lasts. The decision on
+// a change therefore stands in the engine of rank 0, which carries out one order at a
+// time: either it arms the change, or it prepares a later version and then refuses to
+// arm the change for good. Before the leader gives a change up and releases the engine,
+// it has the change revoked in this way, with the map in use under a new version. A
+// release that a leader has sent is thus for a change that is complete or revoked, and
+// releases no engine that a successor needs held, however late it is carried out.
 //
 // The holder's machine may freeze right after it has sent the hold, and its own engine
 // is then unreachable too. Therefore no agent holds its own engine: until the commit
@@ -18,7 +26,8 @@
 // An order to an engine may time out and still be carried out later. Each order is
 // resent until an answer or the engine's report confirms it. A late duplicate is
 // harmless: the engine refuses a version that is not new and a step that has begun,
-// no two changes use the same step, and a hold that belongs to no change is released.
+// no two changes use the same step or version, and a hold that belongs to no change is
+// released.
 package mapchange
 
 import (
--- a/internal/decide/mapchange/rank.go
+++ b/internal/decide/mapchange/rank.go
@@ -45,8 +45,8 @@
 	armed Version
 	// unanswered is when an order last timed out.
 	unanswered time.Time
-	// changed is true if the phase or the engine's map, armed version or hold has
-	// changed since the last status.
+	// changed is true if the phase or the engine's map, prepared or armed version or hold
+	// has changed since the last status.
 	changed bool
 	actions []Action
 }
@@ -148,7 +148,7 @@
 	if s.Armed == 0 && s.Map < r.armed {
 		s.Armed = r.armed
 	}
-	r.changed = r.changed || s.Map != r.state.Map || s.Armed != r.state.Armed || s.Held != r.state.Held
+	r.changed = r.changed || s.Map != r.state.Map || s.Prepared != r.state.Prepared || s.Armed != r.state.Armed || s.Held != r.state.Held
 	r.state, r.known = s, true
 	r.highest = max(r.highest, s.Map, s.Prepared, s.Armed)
 	switch r.Phase() {
--- a/internal/decide/mapchange/release.go
+++ b/internal/decide/mapchange/release.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/anvilpoint/anvilpoint/internal/decide/placement"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 )
 
@@ -28,43 +29,65 @@
 	})
 }
 
-// release releases the engine of rank 0 at the end of a change, and any engine that a
-// late duplicate of an order holds for no change.
-func (l *Leader) release() {
-	if len(l.ranks) == 0 || l.lifecycle.In("collecting") || l.now.Sub(l.releaseSent) < releaseResendInterval {
+// orderOwnEngine sends the engine of rank 0 the order that the state of the change needs,
+// and releases it from a hold that is for no change.
+func (l *Leader) orderOwnEngine() {
+	if len(l.ranks) == 0 || l.now.Sub(l.ownOrderSent) < ownOrderResendInterval {
 		return
 	}
-	if l.lifecycle.In("releasing") || l.lifecycle.In("aborting") && l.step != 0 && !l.released {
-		l.releaseSent = l.now
-		l.orderEngine(0, OrderRelease, l.step)
-		return
-	}
-	for i, r := range l.ranks {
-		if r.status.Held == 0 || l.needsHold(r.status.Held) {
-			continue
-		}
-		if l.lifecycle.In("watching") && r.status.Held != l.step && l.partlyArmed() {
-			// An earlier leader committed a change that is not complete. A hold for
-			// this leader's own last step is excluded: that change was complete when
-			// it was released, and the status may be older.
-			l.fire("collect")
-			return
-		}
-		l.releaseSent = l.now
-		l.orderEngine(i, OrderRelease, r.status.Held)
+	switch held := l.heldStep(); {
+	case l.lifecycle.In("deciding"):
+		l.sendOwnOrder(Order{Kind: OrderArm, Version: l.version, Step: l.step})
+	case l.lifecycle.In("revoking"):
+		l.orderRevocation()
+	case l.lifecycle.In("releasing") || l.lifecycle.In("aborting") && l.step != 0 && !l.released:
+		l.sendOwnOrder(Order{Kind: OrderRelease, Step: l.step})
+	case held != 0 && (held == l.settledStep || l.lifecycle.In("aborting")):
+		// A late duplicate of the order to hold the engine was carried out.
+		l.sendOwnOrder(Order{Kind: OrderRelease, Step: held})
+	case l.lifecycle.In("watching") && l.strayHold():
+		l.fire("collect")
 	}
 }
 
-// needsHold reports whether the change in progress needs the engine to stay held before
-// the step.
-func (l *Leader) needsHold(step uint64) bool {
-	return step == l.step && (l.lifecycle.In("holding") || l.lifecycle.In("settling") || l.lifecycle.In("confirming") || l.lifecycle.In("committing"))
+func (l *Leader) sendOwnOrder(o Order) {
+	l.ownOrderSent = l.now
+	o.Epoch = l.epoch
+	l.actions = append(l.actions, SendLeaderOrder{Rank: 0, Server: l.ranks[0].status.Server, Order: o})
+}
+
+// orderRevocation orders the engine of rank 0 to prepare the map in use under a later
+// version. It waits until the experts of all ranks are known.
+func (l *Leader) orderRevocation() {
+	m := l.mapBefore
+	if m == nil {
+		m = mapOf(l.Statuses())
+	}
+	if m != nil {
+		l.sendOwnOrder(Order{Kind: OrderPrepare, Version: l.revocationOrdered, Map: m})
+	}
 }
 
-// partlyArmed reports whether some but not all ranks have armed a change.
-func (l *Leader) partlyArmed() bool {
-	armed := func(s Status) bool { return s.Armed != 0 }
-	return l.anyStatus(armed) && !l.allStatuses(armed)
+// strayHold reports whether the engine of rank 0 is held for a change whose outcome this
+// leader does not know. It must not be released before that change is revoked: the release
+// may be carried out late, while a successor of this leader commits the change.
+func (l *Leader) strayHold() bool { return l.heldStep() != 0 && l.heldStep() != l.settledStep }
+
+// mapOf returns the map that the ranks use, or nil if the experts of some are not known.
+func mapOf(statuses []Status) placement.Map {
+	if len(statuses) == 0 {
+		return nil
+	}
+	m := make(placement.Map, len(statuses[0].Experts))
+	for _, s := range statuses {
+		if len(m) == 0 || len(s.Experts) != len(m) || s.Map != statuses[0].Map {
+			return nil
+		}
+		for l := range m {
+			m[l] = append(m[l], s.Experts[l])
+		}
+	}
+	return m
 }
 
 // hasArmed reports whether the rank's engine has armed the change or already uses it.
@@ -75,13 +98,25 @@
 // OrderEnded takes the result of an order that the leader sent to a rank's engine.
 func (l *Leader) OrderEnded(now time.Time, rank ident.Rank, o Order, result Result) []Action {
 	l.now = now
-	if o.Epoch != l.epoch || int(rank) >= len(l.ranks) || result != Accepted {
+	if o.Epoch != l.epoch || int(rank) >= len(l.ranks) || result == Unanswered {
 		return l.take()
 	}
+	accepted := result == Accepted
 	switch {
-	case o.Kind == OrderArm && o.Version == l.version && l.lifecycle.In("committing"):
+	case o.Kind == OrderArm && o.Version == l.version && l.lifecycle.In("deciding"):
+		if accepted {
+			l.fire("committed")
+		} else {
+			l.fire("armRefused")
+		}
+		l.ranks[0].armed = accepted
+	case o.Kind == OrderArm && o.Version == l.version && l.lifecycle.In("committing") && accepted:
 		l.ranks[rank].armed = true
-	case o.Kind == OrderRelease && rank == 0 && o.Step == l.step && (l.lifecycle.In("releasing") || l.lifecycle.In("aborting")):
+	case o.Kind == OrderPrepare && o.Version == l.revocationOrdered && l.lifecycle.In("revoking") && !accepted:
+		// The engine has armed the change, or it knows a later version. The next reading
+		// shows which.
+		l.revocationOrdered = l.takeVersion()
+	case o.Kind == OrderRelease && o.Step == l.step && (l.lifecycle.In("releasing") || l.lifecycle.In("aborting")) && accepted:
 		l.released = true
 	}
 	l.advance()
--- a/internal/decide/mapchange/world_test.go
+++ b/internal/decide/mapchange/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 // simulation runs a group of engines and their agents in virtual time.
 type simulation struct {
 	t       *testing.T
+	seed    uint64
 	random  *rand.Rand
 	now     time.Time
 	queue   eventQueue
@@ -46,6 +48,10 @@
 	// present hold began.
 	longestStall time.Duration
 	blockedSince time.Time
+	// isLate reports whether an order to the engine of a rank gets no answer, and ordered is
+	// called when an engine has carried out an order. Both may be nil.
+	isLate  func(rank int, o mapchange.Order) bool
+	ordered func(rank int, o mapchange.Order)
 }
 
 // fakeEngine simulates one rank's engine after the platform's description.
@@ -53,6 +59,8 @@
 	current, prepared, armed mapchange.Version
 	highest                  mapchange.Version
 	armedStep, held          uint64
+	// currentMap and preparedMap are the maps of the versions.
+	currentMap, preparedMap placement.Map
 	// silentUntil is when the engine answers again.
 	silentUntil time.Time
 }
@@ -88,9 +96,9 @@
 }
 
 func newSimulation(t *testing.T, seed uint64, ranks int) *simulation {
-	w := &simulation{t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), epoch: 1, notices: make(map[string]int)}
+	w := &simulation{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), epoch: 1, notices: make(map[string]int)}
 	for range ranks {
-		w.engines = append(w.engines, &fakeEngine{})
+		w.engines = append(w.engines, &fakeEngine{currentMap: oneLayer(ranks, 0)})
 		w.agents = append(w.agents, nil)
 	}
 	for r := range ranks {
@@ -143,10 +151,12 @@
 	for _, e := range w.engines {
 		if e.armed != 0 && e.armedStep == next {
 			e.current, e.armed, e.prepared, changed = e.armed, 0, 0, true
+			e.currentMap = e.preparedMap
 		}
 	}
 	for r, e := range w.engines {
-		must.Eq(w.t, w.engines[0].current, e.current, must.Sprintf("step %d: rank %d uses another map than rank 0", next, r))
+		must.Eq(w.t, w.engines[0].current, e.current, must.Sprintf("seed %d, step %d: rank %d uses another map than rank 0", w.seed, next, r))
+		must.Eq(w.t, w.engines[0].currentMap, e.currentMap, must.Sprintf("seed %d, step %d: rank %d uses another map than rank 0", w.seed, next, r))
 	}
 	if changed {
 		w.switches++
@@ -154,8 +164,17 @@
 	w.after(w.between(40*time.Millisecond, 120*time.Millisecond), w.beginStep)
 }
 
-// order carries out an order at the engine and returns the result.
-func (w *simulation) order(e *fakeEngine, o mapchange.Order) mapchange.Result {
+// order carries out an order at the engine of a rank and returns the result.
+func (w *simulation) order(r int, o mapchange.Order) mapchange.Result {
+	result := w.carryOutOrder(r, o)
+	if w.ordered != nil && result == mapchange.Accepted {
+		w.ordered(r, o)
+	}
+	return result
+}
+
+func (w *simulation) carryOutOrder(r int, o mapchange.Order) mapchange.Result {
+	e := w.engines[r]
 	if o.Epoch != w.epoch {
 		return mapchange.Conflicting
 	}
@@ -166,9 +185,13 @@
 		}
 		e.highest, e.prepared = o.Version, 0
 		version, epoch := o.Version, w.epoch
-		w.after(w.between(50*time.Millisecond, 400*time.Millisecond), func() {
+		copyTime := w.between(50*time.Millisecond, 400*time.Millisecond)
+		if slices.Equal(o.Map[0][r], e.currentMap[0][r]) {
+			copyTime = 0
+		}
+		w.after(copyTime, func() {
 			if w.epoch == epoch && e.highest == version {
-				e.prepared = version
+				e.prepared, e.preparedMap = version, o.Map
 			}
 		})
 	case mapchange.OrderHold:
@@ -192,18 +215,23 @@
 	return mapchange.Accepted
 }
 
-// sendOrder sends an order, which may time out and then be lost or carried out seconds
-// later.
-func (w *simulation) sendOrder(e *fakeEngine, o mapchange.Order, answered func(mapchange.Result)) {
+// sendOrder sends an order to the engine of a rank, which may time out and then be lost or
+// carried out seconds later.
+func (w *simulation) sendOrder(r int, o mapchange.Order, answered func(mapchange.Result)) {
+	e := w.engines[r]
+	if w.isLate != nil && w.isLate(r, o) {
+		w.after(250*time.Millisecond, func() { answered(mapchange.Unanswered) })
+		return
+	}
 	if w.now.Before(e.silentUntil) || w.chance(w.unanswered) {
 		if w.now.After(e.silentUntil) && w.chance(w.late) {
-			w.after(w.between(500*time.Millisecond, 6*time.Second), func() { w.order(e, o) })
+			w.after(w.between(500*time.Millisecond, 6*time.Second), func() { w.order(r, o) })
 		}
 		w.after(250*time.Millisecond, func() { answered(mapchange.Unanswered) })
 		return
 	}
 	w.after(w.between(100*time.Microsecond, 3*time.Millisecond), func() {
-		result := w.order(e, o)
+		result := w.order(r, o)
 		w.after(w.between(100*time.Microsecond, 3*time.Millisecond), func() { answered(result) })
 	})
 }
@@ -217,7 +245,8 @@
 }
 
 func (w *simulation) startAgent(r int) {
-	incarnation := ident.Incarnation(w.random.Uint64())
+	// Clocks are up to an hour wrong, so that a later process may seem to be the earlier one.
+	incarnation := ident.NewIncarnation(w.now.Add(w.between(-time.Hour, time.Hour)))
 	p := &fakeAgent{rank: mapchange.NewRank(w.now), leader: mapchange.NewLeader(w.now, incarnation)}
 	w.agents[r] = p
 	w.sessions++
@@ -254,17 +283,17 @@
 		w.carryOut(r, p, p.leader.SetFormation(w.now, s.Group, s.Epoch, s.Size))
 		w.carryOut(r, p, p.leader.Tick(w.now))
 		if p.leader.Watching() && w.chance(0.1) {
-			w.carryOut(r, p, p.leader.Propose(w.now, oneLayer(len(w.agents))))
+			w.carryOut(r, p, p.leader.Propose(w.now, oneLayer(len(w.agents), w.random.IntN(len(w.agents)))))
 		}
 	}
 	w.after(20*time.Millisecond, func() { w.whenAwake(r, p, func() { w.tick(r, p) }) })
 }
 
-// oneLayer is a map with one expert at each rank.
-func oneLayer(ranks int) placement.Map {
+// oneLayer is a map with one expert at each rank. Shift is the expert of rank 0.
+func oneLayer(ranks, shift int) placement.Map {
 	m := placement.Map{nil}
 	for r := range ranks {
-		m[0] = append(m[0], []int{r})
+		m[0] = append(m[0], []int{(r + shift) % ranks})
 	}
 	return m
 }
@@ -277,9 +306,9 @@
 				w.freezeOn = ""
 				p.frozenUntil = w.now.Add(4 * time.Second)
 			}
-			engine := w.engines[r]
+			engine := r
 			if a.Server != "" {
-				engine = w.engines[0]
+				engine = 0
 			}
 			if w.freezeHolder && a.Order.Kind == mapchange.OrderHold {
 				w.freezeHolder = false
@@ -292,11 +321,14 @@
 				w.whenAwake(r, p, func() { w.carryOut(r, p, p.rank.OrderEnded(w.now, a.Order, result)) })
 			})
 		case mapchange.SendLeaderOrder:
-			w.sendOrder(w.engines[a.Rank], a.Order, func(result mapchange.Result) {
+			w.sendOrder(int(a.Rank), a.Order, func(result mapchange.Result) {
 				w.whenAwake(r, p, func() { w.carryOut(r, p, p.leader.OrderEnded(w.now, a.Rank, a.Order, result)) })
 			})
 		case mapchange.Report:
 			a.Status.Server = "engine"
+			if e := w.engines[r]; a.Status.Phase == mapchange.Idle && a.Status.Map == e.current {
+				a.Status.Experts = [][]int{e.currentMap[0][r]}
+			}
 			w.reports++
 			w.transmit(0, func(to *fakeAgent) { w.carryOut(0, to, to.leader.Receive(w.now, a.Status)) })
 		case mapchange.Notice:
@@ -327,6 +359,6 @@
 func (w *simulation) reform() {
 	w.epoch++
 	for _, e := range w.engines {
-		*e = fakeEngine{}
+		*e = fakeEngine{currentMap: oneLayer(len(w.engines), 0)}
 	}
 }
