gateway, registry: a watch that was cut is no outage of the store

Cause: the watcher took each watch without an answer for an outage, and the registry took the end of any outage, however short, for a time in which entries may be missing that had lapsed. It then kept missing servers for 2.2 s, and each further cut moved that time.

Change: a watch that was cut is followed by a read at once, and only that read tells whether the store is away. Watches use connections of their own, since the HTTP client repeats a call that was cut on a kept one. The registry keeps missing servers only if the list could not be written for two heartbeat intervals, the least time in which entries lapse; short outages in a row add up unless 1.5 s without a failure lie between them.

Conclusion: the grace time now follows what can have happened to the list.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -1,6 +1,7 @@
 // Package registry keeps the set of backend servers from the watched instance
-// list. If the list was unreachable or restored from a copy, servers whose list
-// entries are missing since are kept until they have had time to register again. List
+// list. If the list was unreachable for so long that entries may have lapsed, or was
+// restored from a copy, servers whose list entries are missing since are kept until they
+// have had time to register again. List
 // entries are ordered by the start of the server and its count of writes, not by the
 // list's revisions: a list that is restored from a copy gives revisions out again.
 package registry
@@ -19,6 +20,18 @@
 // written again within about two seconds of its end.
 const returnGrace = 2200 * time.Millisecond
 
+const (
+	// heartbeatInterval is the interval at which a server writes its list entry.
+	heartbeatInterval = 1200 * time.Millisecond
+	// writeTime is the time in which every server that runs has written its list entry, if
+	// the list can be reached all the while.
+	writeTime = heartbeatInterval + 300*time.Millisecond
+	// lapseTime is the least time without a write in which list entries may lapse. They
+	// lapse after three heartbeat intervals, and the last write may be one interval older
+	// than the outage.
+	lapseTime = 2 * heartbeatInterval
+)
+
 // Server is the list entry of a backend server.
 type Server struct {
 	ID      ident.ServerID
@@ -70,8 +83,12 @@
 	// unconfirmed are the servers that the list holds although they were removed from it
 	// in an earlier era.
 	unconfirmed map[ident.ServerID]unconfirmed
-	// backAt is when the list was first read after its last outage or restore.
+	// backAt is when the list was first read after the last outage in which entries may have
+	// lapsed, or after the last restore.
 	backAt time.Time
+	// reachableSince is when the list was first read after its last outage, however short,
+	// and writtenAt the last time at which every server that ran had written its entry.
+	reachableSince, writtenAt time.Time
 	// era is the era of the last read.
 	era         uint64
 	unreachable bool
@@ -94,7 +111,16 @@
 
 // reached records a successful read of the list in an era.
 func (r *Registry) reached(now time.Time, era uint64) {
-	if r.unreachable || r.synced && era != r.era {
+	switch {
+	case !r.synced:
+		r.reachableSince, r.writtenAt = now, now
+	case r.unreachable:
+		r.reachableSince = now
+	case now.Sub(r.reachableSince) >= writeTime:
+		r.writtenAt = now
+	}
+	// An outage that is too short for entries to lapse keeps no removed server in use.
+	if r.unreachable && now.Sub(r.writtenAt) >= lapseTime || r.synced && era != r.era {
 		r.backAt = now
 	}
 	r.era, r.unreachable, r.synced = era, false, true
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -43,6 +43,49 @@
 	must.Eq(t, []registry.Server{server("a")}, r.Servers())
 }
 
+// Guards against work for a server that left the list, because a call to the list failed
+// shortly before or fails now and then: no entry lapses in so short a time.
+func TestRemovedServerIsGoneAfterAShortOutage(t *testing.T) {
+	for _, outage := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second} {
+		r := registry.New()
+		r.Replace(start, 1, []registry.Server{server("a"), server("b")})
+		now := start
+		for range 5 {
+			now = now.Add(2 * time.Second)
+			r.Apply(now, 1, nil)
+			r.SetUnreachable()
+			now = now.Add(outage)
+			r.Replace(now, 1, []registry.Server{server("a"), server("b")})
+			now = now.Add(2 * time.Second)
+			r.Apply(now, 1, nil)
+		}
+		r.SetUnreachable()
+		now = now.Add(outage)
+		must.True(t, r.Replace(now, 1, []registry.Server{server("b")}).Changed)
+		must.True(t, r.Apply(now.Add(100*time.Millisecond), 1, []registry.Change{gone("b")}).Changed)
+		must.SliceEmpty(t, r.Servers())
+	}
+}
+
+// Guards against dropping servers whose entries lapsed because the list was away again and
+// again, each time for less than a lapse takes.
+func TestEntriesMayLapseInARowOfShortOutages(t *testing.T) {
+	r := registry.New()
+	r.Replace(start, 1, []registry.Server{server("a")})
+	now := start
+	for range 3 {
+		r.SetUnreachable()
+		now = now.Add(2 * time.Second)
+		r.Replace(now, 1, []registry.Server{server("a")})
+		now = now.Add(300 * time.Millisecond)
+		r.Apply(now, 1, nil)
+	}
+	must.False(t, r.Apply(now.Add(100*time.Millisecond), 1, []registry.Change{gone("a")}).Changed)
+	must.SliceLen(t, 1, r.Servers())
+	must.True(t, r.Tick(now.Add(2500*time.Millisecond)))
+	must.SliceEmpty(t, r.Servers())
+}
+
 // Guards against a late write of an earlier process that overwrites the state of the
 // restarted one.
 func TestLateWriteOfAnEarlierProcessIsIgnored(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -257,13 +257,14 @@
 // watchStore starts the watches of the routes and of the backend server list.
 func (p *process) watchStore() {
 	store := &platform.Store{Address: p.options.Settings.Store, Client: upstream.NewHTTPClient()}
+	watchStore := &platform.Store{Address: p.options.Settings.Store, Client: upstream.NewSingleCallClient()}
 	routes := &watcher{
-		store: store, prefix: platform.ConfigurationKey, logger: p.options.Logger, random: p.random(3), metrics: p.metrics,
+		store: store, watchStore: watchStore, prefix: platform.ConfigurationKey, logger: p.options.Logger, random: p.random(3), metrics: p.metrics,
 		deliver:     func(ctx context.Context, r storeRead) { p.control.mailbox.Send(ctx, routesRead(r)) },
 		unreachable: func(context.Context) {},
 	}
 	servers := &watcher{
-		store: store, prefix: platform.ServersPrefix, pollInterval: serversPollInterval, logger: p.options.Logger, random: p.random(4), metrics: p.metrics,
+		store: store, watchStore: watchStore, prefix: platform.ServersPrefix, pollInterval: serversPollInterval, logger: p.options.Logger, random: p.random(4), metrics: p.metrics,
 		deliver:     func(ctx context.Context, r storeRead) { p.control.mailbox.Send(ctx, serversRead(r)) },
 		unreachable: func(ctx context.Context) { p.control.mailbox.Send(ctx, serversUnreachable{}) },
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -25,6 +25,13 @@
 	readTimeout = time.Second
 	// meanRetryDelay is the mean time between a failed call and its retry.
 	meanRetryDelay = 300 * time.Millisecond
+	// maxCutReadDelay is the greatest delay of the read after a watch was cut. The delays of
+	// entries differ, so that they don't all read at once.
+	maxCutReadDelay = 50 * time.Millisecond
+	// maxQuietTime is the longest time between two answers of the store for which a watch
+	// that was cut means nothing: the pause before the watch, the watch, and the time to
+	// notice the cut. After a longer time the store may have been away.
+	maxQuietTime = serversPollInterval + longPollTime + 300*time.Millisecond
 	// serversPollInterval is the pause before each watch call for the backend servers.
 	// Each server writes about once a second, so a watch without a pause would make
 	// several calls a second. A draining server must be known within 2 s.
@@ -42,7 +49,11 @@
 
 // watcher is the task that watches one key prefix of the store.
 type watcher struct {
-	store        *platform.Store
+	store *platform.Store
+	// watchStore is the store with a client that sends each call once, on a connection of
+	// its own. On one that is kept, HTTP clients repeat a call that was cut, and the time
+	// until it fails tells nothing.
+	watchStore   *platform.Store
 	prefix       string
 	pollInterval time.Duration
 	logger       zerolog.Logger
@@ -56,6 +67,8 @@
 	revision    uint64
 	// era is the era of the store in which all items were last read.
 	era uint64
+	// answeredAt is when the store last answered, and readAt when all items were last read.
+	answeredAt, readAt time.Time
 }
 
 func (w *watcher) observe(t chart.Transition) {
@@ -80,6 +93,12 @@
 			w.read(ctx)
 		case "watching":
 			w.watch(ctx)
+		case "cut":
+			delay := time.Duration(w.random.Int64N(int64(maxCutReadDelay)))
+			if !task.Sleep(ctx, max(delay, meanRetryDelay-time.Since(w.readAt))) {
+				return nil
+			}
+			w.lifecycle.Fire(time.Now(), "retryDue")
 		default:
 			if !task.Sleep(ctx, meanRetryDelay/2+time.Duration(w.random.Int64N(int64(meanRetryDelay)))) {
 				return nil
@@ -127,7 +146,9 @@
 		after = page.Items[len(page.Items)-1].Key
 	}
 	w.revision = first
-	w.lifecycle.Fire(time.Now(), "read")
+	w.readAt = time.Now()
+	w.answeredAt = w.readAt
+	w.lifecycle.Fire(w.readAt, "read")
 	w.metrics.storeReads.WithLabelValues("read").Inc()
 	w.deliver(ctx, storeRead{items: all, era: w.era, complete: true})
 }
@@ -137,11 +158,13 @@
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, longPollTime+longPollMargin)
-	page, err := w.store.Watch(limited, w.prefix, w.revision, longPollTime)
+	page, err := w.watchStore.Watch(limited, w.prefix, w.revision, longPollTime)
 	cancel()
 	switch {
 	case errors.Is(err, platform.ErrHistoryGone):
 		w.lifecycle.Fire(time.Now(), "historyGone")
+	case err != nil && w.wasCut(err):
+		w.cut(ctx, err)
 	case err != nil:
 		w.failed(ctx, err)
 	case page.Era > w.era:
@@ -150,13 +173,31 @@
 	case page.Era < w.era:
 		w.failed(ctx, errors.Errorf("watch %s: the answer is of era %d, before %d", w.prefix, page.Era, w.era))
 	default:
-		w.lifecycle.Fire(time.Now(), "changed")
+		w.answeredAt = time.Now()
+		w.lifecycle.Fire(w.answeredAt, "changed")
 		w.metrics.storeReads.WithLabelValues("watch").Inc()
 		w.revision = max(w.revision, page.Revision)
 		w.deliver(ctx, storeRead{items: page.Items, era: w.era})
 	}
 }
 
+// wasCut reports whether the watch may have been cut by a store that is not away. A watch
+// that the store doesn't answer in time was not.
+func (w *watcher) wasCut(err error) bool {
+	return !errors.Is(err, context.DeadlineExceeded) && time.Since(w.answeredAt) <= maxQuietTime
+}
+
+// cut records that a watch ended without an answer. The next read tells whether the store
+// is away.
+func (w *watcher) cut(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	w.metrics.storeReads.WithLabelValues("cut").Inc()
+	w.logger.Debug().Err(err).Str("prefix", w.prefix).Msg("a watch of the store was cut")
+	w.lifecycle.Fire(time.Now(), "cut")
+}
+
 func (w *watcher) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
