--- a/internal/decide/quarantine/crash.go
+++ b/internal/decide/quarantine/crash.go
@@ -161,7 +161,8 @@
 	return append(l.recurring, l.waiting...)
 }
 
-// weight returns the weight of the crash against one of the traits that may explain it.
+// weight returns the weight of the crash against one of the traits that may explain it. It
+// depends on the other traits of the same kind, since requests have traits of both kinds.
 func (c *Crash) weight(t Trait, blamed []Trait) float64 {
 	isOther := func(other Trait) bool { return other != t && other.whole() == t.whole() }
 	isOtherBegan := func(other Trait) bool { return isOther(other) && c.uses[other].began }
