mapchange: the simulation compares the contents of maps where they can change

Each simulated step compared them, which took two thirds of the time of the package's tests (TestOneMapUnderFaults 40 s, now 15 s).

--- a/internal/decide/mapchange/world_test.go
+++ b/internal/decide/mapchange/world_test.go
@@ -156,7 +156,9 @@
 	}
 	for r, e := range w.engines {
 		must.Eq(w.t, w.engines[0].current, e.current, must.Sprintf("seed %d, step %d: rank %d uses another map than rank 0", w.seed, next, r))
-		must.Eq(w.t, w.engines[0].currentMap, e.currentMap, must.Sprintf("seed %d, step %d: rank %d uses another map than rank 0", w.seed, next, r))
+		if changed {
+			must.Eq(w.t, w.engines[0].currentMap, e.currentMap, must.Sprintf("seed %d, step %d: rank %d uses another map than rank 0", w.seed, next, r))
+		}
 	}
 	if changed {
 		w.switches++
