--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -1,9 +1,9 @@
-// Package registry keeps the set of backend servers from the watched instance
-// list. If the list was unreachable for so long that entries may have lapsed, or was
-// restored from a copy, servers whose list entries are missing since are kept until they
-// have had time to register again. List
-// entries are ordered by the start of the server and its count of writes, not by the
-// list's revisions: a list that is restored from a copy gives revisions out again.
+// Package registry keeps the set of backend servers from the watched instance list. If the
+// list could not be written for so long that entries may have lapsed, or was restored from a
+// copy, servers whose list entries are missing since are kept until they have had time to
+// register again. List entries are ordered by the start of the server and its count of
+// writes, not by the list's revisions: a list that is restored from a copy gives revisions
+// out again.
 package registry
 
 import (
