--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -34,10 +34,11 @@
 }
 
 var cases = map[string]func(w *world) (outcome, error){
-	"unannounced-run":   unannouncedRun,
-	"long-prompt":       longPrompt,
-	"crash-after-event": crashAfterEvent,
-	"short-prompt":      shortPrompt,
+	"unannounced-run":     unannouncedRun,
+	"long-prompt":         longPrompt,
+	"pause-after-restart": pauseAfterRestart,
+	"crash-after-event":   crashAfterEvent,
+	"short-prompt":        shortPrompt,
 }
 
 func main() {
--- a/review/_world2/replica.go
+++ b/review/_world2/replica.go
@@ -21,6 +21,8 @@
 	server               *http.Server
 	handle               func(w http.ResponseWriter, r *http.Request, body []byte)
 	stopBeat             chan struct{}
+	// firstWrite is how long after its start the replica first writes its entry.
+	firstWrite time.Duration
 }
 
 // heartbeat is the interval at which a replica writes its entry.
@@ -42,8 +44,10 @@
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	r.stopBeat = make(chan struct{})
 	go func(s *http.Server) { _ = s.Serve(l) }(r.server)
-	r.write()
-	go r.beat(r.stopBeat)
+	if r.firstWrite == 0 {
+		r.write()
+	}
+	go r.beat(r.stopBeat, r.firstWrite)
 	return nil
 }
 
@@ -56,12 +60,17 @@
 	})
 }
 
-func (r *replica) beat(stop chan struct{}) {
-	ticker := time.NewTicker(heartbeat)
-	defer ticker.Stop()
+func (r *replica) beat(stop chan struct{}, first time.Duration) {
+	next := heartbeat
+	if first > 0 {
+		next = first
+	}
+	timer := time.NewTimer(next)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(heartbeat)
 			r.mutex.Lock()
 			r.write()
 			r.mutex.Unlock()
@@ -123,3 +132,13 @@
 }
 
 func requestID(r *http.Request) string { return r.Header.Get("X-Anvilpoint-Request-Id") }
+
+// restart ends the replica and starts it again under its id and at its address.
+func (r *replica) restart() error {
+	r.mutex.Lock()
+	server := r.server
+	close(r.stopBeat)
+	r.mutex.Unlock()
+	_ = server.Close()
+	return r.start()
+}
