--- a/review/_world2/case_deadly_part.go
+++ b/review/_world2/case_deadly_part.go
@@ -58,7 +58,7 @@
 	_, err := startReplicas(w.store, "assistant", 8, func(_ int, r *replica) {
 		r.handle = func(out http.ResponseWriter, request *http.Request, _ []byte) {
 			id := requestID(request)
-			deadly := strings.Contains(request.Header.Get("X-Anvilpoint-Prefix-Hash"), deadlyPart)
+			deadly := strings.Contains(request.Header.Get(name("parts")), deadlyPart)
 			if deadly {
 				mutex.Lock()
 				arrivals = append(arrivals, time.Now())
@@ -97,7 +97,7 @@
 	sendOne := func(client *http.Client, deadly bool) {
 		c := call{
 			entry: w.entries[rand.IntN(len(w.entries))], route: "dish-cost", id: newID(), body: []byte("prompt " + newID()), deadline: 8 * time.Second,
-			headers: map[string]string{"X-Anvilpoint-Model-Id": "m", "X-Anvilpoint-Token-Counts": fmt.Sprintf("%d,24", 100*p.parts), "X-Anvilpoint-Prefix-Hash": p.text(deadly)},
+			headers: map[string]string{name("model"): "m", name("tokens"): fmt.Sprintf("%d,24", 100*p.parts), name("parts"): p.text(deadly)},
 		}
 		w.record.add("request %s is sent to %s, with the deadly part: %t", c.id, c.entry.name, deadly)
 		got := send(client, c)
--- a/review/_world2/case_pause_after_restart.go
+++ b/review/_world2/case_pause_after_restart.go
@@ -55,7 +55,7 @@
 				turnedAway = append(turnedAway, arrival{entry: one.entry, at: time.Now(), boot: one.boot})
 				mutex.Unlock()
 				w.record.add("replica %s turns request %s of %s away, Retry-After 3", r.id, id, one.entry)
-				out.Header().Set("X-Anvilpoint-Not-Executed", "1")
+				out.Header().Set(name("not-run"), "1")
 				out.Header().Set("Retry-After", "3")
 				out.WriteHeader(http.StatusServiceUnavailable)
 				return
--- a/review/_world2/client.go
+++ b/review/_world2/client.go
@@ -53,9 +53,9 @@
 	// Without GetBody, net/http does not send a request again by itself.
 	r.GetBody = nil
 	r.Host = host
-	r.Header.Set("X-Anvilpoint-Request-Id", c.id)
-	r.Header.Set("X-Anvilpoint-Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
-	r.Header.Set("X-Anvilpoint-Key", key)
+	r.Header.Set(name("request-id"), c.id)
+	r.Header.Set(name("deadline"), strconv.FormatInt(c.deadline.Milliseconds(), 10))
+	r.Header.Set(name("key"), key)
 	for name, value := range c.headers {
 		r.Header.Set(name, value)
 	}
@@ -64,7 +64,7 @@
 		return result{err: err}
 	}
 	defer response.Body.Close()
-	out := result{status: response.StatusCode, sealed: response.Header.Get("X-Anvilpoint-Response-Seal") != ""}
+	out := result{status: response.StatusCode, sealed: response.Header.Get(name("seal")) != ""}
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		out.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/review/_world2/entry.go
+++ b/review/_world2/entry.go
@@ -78,7 +78,7 @@
 
 func (e *entry) start() error {
 	e.process = exec.Command("target/anvilpoint", "gateway")
-	e.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ANVILPOINT_SETTINGS=" + e.settings}
+	e.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), name("settings") + "=" + e.settings}
 	e.process.Stdout, e.process.Stderr = e.log, e.log
 	// The process ends with this one, however this one ends.
 	e.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -96,7 +96,7 @@
 
 func (e *entry) awaitReady(limit time.Duration) bool {
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		response, err := http.Get("http://" + e.ready + "/anvilpoint/ready")
+		response, err := http.Get("http://" + e.ready + name("ready"))
 		if err == nil {
 			response.Body.Close()
 			if response.StatusCode == http.StatusOK {
--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -37,6 +37,7 @@
 	"unannounced-run":     unannouncedRun,
 	"long-prompt":         longPrompt,
 	"pause-after-restart": pauseAfterRestart,
+	"new-prompt":          newPrompt,
 	"crash-after-event":   crashAfterEvent,
 	"short-prompt":        shortPrompt,
 }
--- a/review/_world2/replica.go
+++ b/review/_world2/replica.go
@@ -96,15 +96,15 @@
 
 func (r *replica) serve(w http.ResponseWriter, request *http.Request) {
 	if request.URL.Path == "/health" {
-		w.Header().Set("X-Anvilpoint-Instance-Id", r.id)
+		w.Header().Set(name("instance"), r.id)
 		return
 	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
 	}
-	w.Header().Set("X-Anvilpoint-Request-Id", request.Header.Get("X-Anvilpoint-Request-Id"))
-	if request.Header.Get("X-Anvilpoint-Expect-Instance") != r.id {
+	w.Header().Set(name("request-id"), request.Header.Get(name("request-id")))
+	if request.Header.Get(name("expect-instance")) != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -112,7 +112,7 @@
 }
 
 func seal(w http.ResponseWriter) {
-	w.Header().Set("X-Anvilpoint-Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1")
+	w.Header().Set(name("seal"), "3e1b.07.5a2.600.0.c9f2a4d1")
 }
 
 // work waits for the time that the work takes, or until the caller has left.
@@ -131,7 +131,7 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
-func requestID(r *http.Request) string { return r.Header.Get("X-Anvilpoint-Request-Id") }
+func requestID(r *http.Request) string { return r.Header.Get(name("request-id")) }
 
 // restart ends the replica and starts it again under its id and at its address.
 func (r *replica) restart() error {
--- a/review/_world2/store.go
+++ b/review/_world2/store.go
@@ -37,9 +37,9 @@
 	}
 	s := &store{address: l.Addr().String(), revision: 100, items: map[string]storeItem{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /anvilpoint/kv-key", s.get)
-	mux.HandleFunc("GET /anvilpoint/kv-range", s.list)
-	mux.HandleFunc("GET /anvilpoint/kv-watch", s.watch)
+	mux.HandleFunc("GET "+name("store-key"), s.get)
+	mux.HandleFunc("GET "+name("store-range"), s.list)
+	mux.HandleFunc("GET "+name("store-watch"), s.watch)
 	go func() { _ = http.Serve(l, mux) }()
 	return s, nil
 }
