--- a/review/_world2/main.go
+++ b/review/_world2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // outcome is the exit code of a case.
@@ -64,6 +66,14 @@
 		return fail(err)
 	}
 	defer os.RemoveAll(w.scratch)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		// The entries end with this process.
+		_ = os.RemoveAll(w.scratch)
+		os.Exit(int(cannotRun))
+	}()
 	if w.store, err = startStore(); err != nil {
 		return fail(err)
 	}
