--- a/review/_world2/replica.go
+++ b/review/_world2/replica.go
@@ -23,6 +23,8 @@
 	stopBeat             chan struct{}
 	// firstWrite is how long after its start the replica first writes its entry.
 	firstWrite time.Duration
+	// down is set from a crash to the next start.
+	down bool
 }
 
 // heartbeat is the interval at which a replica writes its entry.
@@ -40,7 +42,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.address, r.born, r.sequence, r.state = l.Addr().String(), time.Now().UnixMilli(), 0, "ready"
+	r.address, r.born, r.sequence, r.state, r.down = l.Addr().String(), time.Now().UnixMilli(), 0, "ready", false
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	r.stopBeat = make(chan struct{})
 	go func(s *http.Server) { _ = s.Serve(l) }(r.server)
@@ -84,9 +86,15 @@
 // starts again under its id after the pause.
 func (r *replica) crash(pause time.Duration) {
 	r.mutex.Lock()
-	server := r.server
-	close(r.stopBeat)
+	server, down := r.server, r.down
+	if !down {
+		r.down = true
+		close(r.stopBeat)
+	}
 	r.mutex.Unlock()
+	if down {
+		return
+	}
 	_ = server.Close()
 	go func() {
 		time.Sleep(pause)
