gateway: a server's own 503 is no promise that an unsafe request has not run

Callers saw bookings made twice: a server ran a booking and failed it with its own 503 and its signature, the entry passed this on, and clients take 503 (as 408, 421 and 429) as the promise that the request has not run, so they sent it again.

Cause: handleAnswer completed an unsafe request with every signed answer that is not marked as not run. Nothing compared what the answer proves with what its status says.

outcome/httpstatus says which statuses an outcome may have. An answer with a promise to a request that must not run twice fails the attempt, and the client gets 502 without the server's signature. Heads at the end of a request are written at one place, with this as an invariant. The product's own interface uses the same function: a request that broke off and was then refused for its account's share got 429 with the outcome unknown.

--- a/internal/e2etest/booking_test.go
+++ b/internal/e2etest/booking_test.go
@@ -96,6 +96,21 @@
 	must.Eq(t, 2, countCalls(services))
 }
 
+// Guards against a booking that is made twice because its service ran it and then failed it
+// with 503: the answer has to say that it ran, and the same key must not run it again.
+func TestBookingThatItsServiceFailedIsNotRunAgain(t *testing.T) {
+	f, services := startServices(t, 2, 1)
+	f.book(0, "/loads", "warm", []byte("x"))
+	before := countCalls(services)
+	for n := range 2 {
+		r := f.book(0, e2etest.FailPath, "k", []byte("a"))
+		must.Eq(t, http.StatusServiceUnavailable, r.StatusCode)
+		must.Eq(t, "completed", r.Header.Get("Anvilpoint-Outcome"))
+		must.Eq(t, n == 1, r.Header.Get("Anvilpoint-Replayed") == "true")
+	}
+	must.Eq(t, before+1, countCalls(services))
+}
+
 // Guards against a booking that runs again after the home sidecar of its key was
 // restarted and has lost its record of executions.
 func TestRestartedHomeAnswersUnknown(t *testing.T) {
--- a/internal/e2etest/service.go
+++ b/internal/e2etest/service.go
@@ -25,6 +25,8 @@
 const (
 	CrashPath         = "/crash"
 	CrashInAnswerPath = "/crash-in-answer"
+	// FailPath is the path of calls that the service runs and answers with 503.
+	FailPath = "/fail"
 )
 
 // NewPlainService starts a service on loopback. On the path abortPath it closes the
@@ -50,6 +52,10 @@
 			panic(http.ErrAbortHandler)
 		}
 		w.Header().Set("Content-Type", "text/x-test")
+		if r.URL.Path == FailPath {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		w.WriteHeader(http.StatusCreated)
 		_, _ = w.Write(body)
 	}))
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -8,6 +8,7 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/outcome/httpstatus"
 )
 
 // Headers that anvilpoint sets or reads.
@@ -45,9 +46,20 @@
 	}
 }
 
-// statusOf returns the HTTP status of an outcome other than Completed.
+// statusOf returns the HTTP status of an outcome other than Completed. A request that may
+// have run gets none that promises that it has not.
 func statusOf(o outcome.Outcome) int {
-	switch o.Reason {
+	status := statusOfReason(o.Reason)
+	if httpstatus.Truthful(o.Kind, status) {
+		return status
+	}
+	return http.StatusBadGateway
+}
+
+// statusOfReason returns the HTTP status of a request that ended for the reason and has not
+// run.
+func statusOfReason(reason outcome.Reason) int {
+	switch reason {
 	case outcome.ReasonUnauthenticated:
 		return http.StatusUnauthorized
 	case outcome.ReasonForbidden:
@@ -67,10 +79,7 @@
 	case outcome.ReasonInternal:
 		return http.StatusInternalServerError
 	}
-	if o.Kind == outcome.NotRun {
-		return http.StatusServiceUnavailable
-	}
-	return http.StatusBadGateway
+	return http.StatusServiceUnavailable
 }
 
 // writeProblem answers with a problem document.
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -14,6 +14,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
+	"github.com/anvilpoint/anvilpoint/internal/outcome/httpstatus"
 	"github.com/anvilpoint/anvilpoint/internal/record"
 	"github.com/anvilpoint/anvilpoint/internal/upstream"
 	"github.com/anvilpoint/anvilpoint/task"
@@ -364,6 +365,10 @@
 		c.step(now, request.Refused{Attempt: c.currentAttempt, Reason: outcome.ReasonBusy})
 	case !e.Head.Signed || e.Head.Encoded || c.headWritten:
 		c.failAttempt(now, outcome.ReasonServerFailed, fmt.Sprintf("the answer with status %d is not a valid answer of the backend server", e.Head.Status))
+	case !c.mayAnswer(outcome.Completed, e.Head.Status):
+		// The server ran the request. An answer of the entry's own says that it may have run.
+		c.logServerFailure(e.Head.Status)
+		c.step(now, request.Failed{Attempt: c.currentAttempt, Reason: outcome.ReasonServerFailed})
 	case success || !c.route.Repeats() || e.Head.Status < http.StatusInternalServerError:
 		c.answer = &e
 		if success {
@@ -372,11 +377,22 @@
 		c.step(now, request.Completed{Attempt: c.currentAttempt})
 	default:
 		c.answer = &e
-		c.log("request.attempt-failed", outcome.ReasonServerFailed, fmt.Sprintf("status %d", e.Head.Status))
+		c.logServerFailure(e.Head.Status)
 		c.step(now, request.Failed{Attempt: c.currentAttempt, Reason: outcome.ReasonServerFailed})
 	}
 }
 
+// mayAnswer reports whether the status is true for a request that ended in this way. Clients
+// repeat a request that may run twice whatever the status is.
+func (c *clientRequest) mayAnswer(kind outcome.Kind, status int) bool {
+	return c.route.Repeats() || httpstatus.Truthful(kind, status)
+}
+
+// logServerFailure logs the status with which the current attempt's server failed it.
+func (c *clientRequest) logServerFailure(status int) {
+	c.log("request.attempt-failed", outcome.ReasonServerFailed, fmt.Sprintf("status %d", status))
+}
+
 // recordOutput reports the first output of the current attempt.
 func (c *clientRequest) recordOutput() {
 	if !c.outputBegan {
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
+	"github.com/anvilpoint/anvilpoint/internal/invariant"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 )
 
@@ -33,12 +34,12 @@
 	case o.Kind == outcome.NotRun:
 		c.refuseNotRun()
 	default:
-		c.status = http.StatusBadGateway
+		status := http.StatusBadGateway
 		if o.Reason == outcome.ReasonDeadline {
-			c.status = http.StatusGatewayTimeout
+			status = http.StatusGatewayTimeout
 		}
 		c.handler.protocol.Refuse(c.writer.Header(), c.meta.ID, 0)
-		c.writer.WriteHeader(c.status)
+		c.writeStatus(status)
 	}
 }
 
@@ -50,15 +51,22 @@
 	return c.firstOutput.Sub(c.arrived)
 }
 
+// writeStatus writes the head of an answer that is not a stream.
+func (c *clientRequest) writeStatus(status int) {
+	invariant.Check(c.mayAnswer(c.end.Outcome.Kind, status), "a status promises that a request has not run only if it has not",
+		"outcome %s, status %d", c.end.Outcome.Kind, status)
+	c.status = status
+	c.writer.WriteHeader(status)
+}
+
 // writeAnswer passes the backend server's answer on unchanged.
 func (c *clientRequest) writeAnswer() {
-	c.status = c.answer.Head.Status
-	h := c.writer.Header()
+	status, h := c.answer.Head.Status, c.writer.Header()
 	c.handler.protocol.Deliver(h, c.answer.Header)
-	if c.request.Method != http.MethodHead && c.status != http.StatusNoContent && c.status != http.StatusNotModified {
+	if c.request.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified {
 		h.Set("Content-Length", fmt.Sprint(len(c.answer.Body)))
 	}
-	c.writer.WriteHeader(c.status)
+	c.writeStatus(status)
 	if _, err := c.writer.Write(c.answer.Body); err != nil {
 		c.log("request.client-lost", outcome.ReasonCanceled, err.Error())
 	}
@@ -66,13 +74,12 @@
 
 // refuseNotRun answers that the request did not run and never will.
 func (c *clientRequest) refuseNotRun() {
-	c.status = http.StatusServiceUnavailable
 	wait := c.end.RetryAfter
 	if wait == 0 && time.Since(c.arrived)+minRetryAfter <= c.timeout {
 		wait = minRetryAfter
 	}
 	c.handler.protocol.Refuse(c.writer.Header(), c.meta.ID, wait)
-	c.writer.WriteHeader(c.status)
+	c.writeStatus(http.StatusServiceUnavailable)
 }
 
 // log writes an event about the request to the event log.
