quarantine: a trial tries the set of accused parts of a request

Callers saw every request with a new version of the prompts refused with 503 for good, after one crash by the first of them, which had a deadly part beside two new shared ones.

Cause: a trial tried one part, and a request with several accused parts was never sent, since its crash would not tell them apart. Parts that always come together had no other request, so no trial ever began.

Now the request with the fewest accused parts is the trial of all of them. One that has all parts which the evidence does not tell apart has the deadly one for certain, so it is held like one part with the same evidence. A hold ends early if many requests are refused for it, up to the third crash, so that a crash of another cause during a trial costs seconds. Check returns the set that a request tries, and entries tell each other of each of its parts; the tests follow that signature.

--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -40,9 +41,17 @@
 		}
 	}
 	history := q.crashHistory(blamed)
+	var members map[Trait]bool
+	q.inseparable, members = q.findInseparable(blamed, history)
 	for t, weight := range weights {
 		h := history[t]
-		q.accuse(now, t, h.latest.Add(q.hold(t, weight, h.crashes)))
+		hold := q.hold(t, weight, h.crashes)
+		if members[t] {
+			// A request with some of the inseparable parts may return soon; one with all of
+			// them is held by the set.
+			hold = min(hold, shortHold)
+		}
+		q.accuse(now, t, h.latest.Add(hold), h)
 	}
 	q.forget(now)
 }
@@ -114,7 +123,7 @@
 }
 
 // accuse holds the trait until the time, unless it is held until then already.
-func (q *Quarantine) accuse(now time.Time, t Trait, until time.Time) {
+func (q *Quarantine) accuse(now time.Time, t Trait, until time.Time, h crashHistory) {
 	a := q.accused[t]
 	if a != nil && a.releaseAt.Equal(until) {
 		return
@@ -125,6 +134,7 @@
 		q.accused[t] = a
 	}
 	a.releaseAt, a.holdTime, a.ownTrial = until, max(until.Sub(now), 0), false
+	a.early.restart(h, q.served)
 	if known {
 		a.lifecycle.Fire(now, "blamed")
 		return
@@ -184,10 +194,6 @@
 // weigh returns the evidence against each blamed trait: the sum over the outages of the
 // greatest weight of a crash.
 func (q *Quarantine) weigh(blamed [][]Trait) map[Trait]float64 {
-	type tally struct {
-		sum, weight float64
-		outage      int
-	}
 	tallies := make(map[Trait]tally)
 	requests := make(distinctRequests)
 	for n, traits := range blamed {
@@ -196,23 +202,35 @@
 			if !requests.add(c, t) {
 				continue
 			}
-			weight := c.weight(t, traits)
 			y := tallies[t]
-			if y.outage == c.outage {
-				y.weight = max(y.weight, weight)
-			} else {
-				y = tally{sum: y.sum + y.weight, weight: weight, outage: c.outage}
-			}
+			y.add(c, c.weight(t, traits))
 			tallies[t] = y
 		}
 	}
 	weights := make(map[Trait]float64, len(tallies))
 	for t, y := range tallies {
-		weights[t] = y.sum + y.weight
+		weights[t] = y.total()
 	}
 	return weights
 }
 
+// tally adds up the greatest weight of a crash in each outage.
+type tally struct {
+	// sum is that of the earlier outages, weight the greatest in the latest one.
+	sum, weight float64
+	outage      int
+}
+
+func (y *tally) add(c *Crash, weight float64) {
+	if y.outage == c.outage {
+		y.weight = max(y.weight, weight)
+		return
+	}
+	*y = tally{sum: y.total(), weight: weight, outage: c.outage}
+}
+
+func (y *tally) total() float64 { return y.sum + y.weight }
+
 // withoutExplained drops the traits against which there is much less evidence than against
 // another one of the same crash. A part does not explain a whole request away, since
 // requests with the part are kept back anyway.
@@ -256,15 +274,34 @@
 // crashHistory holds the crashes for which a trait is blamed, and when the latest was.
 type crashHistory struct {
 	crashes []*Crash
+	// indexes are those of the crashes, in ascending order.
+	indexes []int
 	latest  time.Time
 }
 
+// key returns a text that tells sets of crashes apart.
+func (h crashHistory) key() []byte {
+	var key []byte
+	for _, n := range h.indexes {
+		key = binary.AppendUvarint(key, uint64(n))
+	}
+	return key
+}
+
+// containsAll reports whether the crashes of the other history are among these.
+func (h crashHistory) containsAll(other crashHistory) bool {
+	return !slices.ContainsFunc(other.indexes, func(n int) bool {
+		_, found := slices.BinarySearch(h.indexes, n)
+		return !found
+	})
+}
+
 func (q *Quarantine) crashHistory(blamed [][]Trait) map[Trait]crashHistory {
 	history := make(map[Trait]crashHistory)
 	for n, traits := range blamed {
 		for _, t := range traits {
 			h := history[t]
-			h.crashes = append(h.crashes, q.crashes[n])
+			h.crashes, h.indexes = append(h.crashes, q.crashes[n]), append(h.indexes, n)
 			if at := q.crashes[n].At; at.After(h.latest) {
 				h.latest = at
 			}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -75,6 +75,11 @@
 	proofs  proofs
 	crashes []*Crash
 	accused map[Trait]*accusedTrait
+	// inseparable are the sets of accused parts that the evidence does not tell apart.
+	inseparable []*inseparable
+	sightings   sightings
+	// served counts the requests of this entry to which a server began to write an answer.
+	served int
 	// latestOutput is when a server last began to write an answer of this entry.
 	latestOutput time.Time
 }
@@ -88,6 +93,7 @@
 	holdTime  time.Duration
 	// ownTrial reports whether a request of this entry is the trial.
 	ownTrial bool
+	early    earlyRelease
 	// recurrences counts how often a whole request came again, up to recurrencesToExplain.
 	recurrences int
 }
@@ -113,52 +119,77 @@
 
 // Decision says whether a request may be sent.
 type Decision struct {
-	// Send allows the request. Trial is then the accused trait that it tries, if any.
+	// Send allows the request. Trial are then the accused traits that it tries, if any.
 	Send  bool
-	Trial Trait
+	Trial Traits
 	// Wait is the time after which a refused request may come back.
 	Wait time.Duration
 	// Unsettled reports whether the evidence may be refuted within a few milliseconds.
 	Unsettled bool
 }
 
-// Check decides whether a request with these traits may be sent now. A request with
-// several accused parts is no trial, since its crash would not tell them apart, unless the
-// whole request is accused: then it is a trial of that.
+// Check decides whether a request with these traits may be sent now.
+//
+// An output clears all traits of a request, a crash accuses all of them. So a request is a
+// trial of all its accused traits at once, and the one with the fewest of them goes first:
+// it risks and tells most. All traits must be ready, and a request with all of several parts
+// that the evidence does not tell apart waits longer than one with some of them.
 func (q *Quarantine) Check(now time.Time, traits Traits) Decision {
 	d := Decision{Send: true}
 	if len(q.accused) == 0 {
 		return d
 	}
-	for _, t := range traits.all() {
+	accused := q.accusedOf(traits)
+	if len(accused) == 0 {
+		return d
+	}
+	for _, t := range accused {
 		a := q.accused[t]
-		if a == nil {
-			continue
-		}
 		a.lifecycle.Tick(now)
-		if d.Trial == (Trait{}) {
-			d.Trial = t
-		} else if !d.Trial.whole() {
-			d.Send = false
+		if !t.whole() && a.lifecycle.In("held") && a.early.due(now, q.served) {
+			a.lifecycle.Fire(now, "holdOver")
 		}
 		d.Send = d.Send && a.lifecycle.In("ready")
 		d.Wait = max(d.Wait, a.releaseAt.Sub(now))
 	}
+	for _, i := range q.inseparable {
+		if i.releaseAt.After(now) && i.within(accused) && !q.returnsEarly(now, i) {
+			d.Send, d.Wait = false, max(d.Wait, i.releaseAt.Sub(now))
+		}
+	}
+	if d.Send && q.sightings.smallerThan(now, accused, q.isAccused) {
+		d.Send = false
+	}
 	if !d.Send {
-		d.Trial, d.Unsettled = Trait{}, q.unsettled(now)
+		d.Unsettled = q.unsettled(now)
+		q.sightings.add(now, accused)
+		for _, t := range accused {
+			q.accused[t].early.refusals++
+		}
+		return d
 	}
+	d.Trial = traitsOf(accused)
 	return d
 }
 
+func (q *Quarantine) isAccused(t Trait) bool { return q.accused[t] != nil }
+
+// accusedOf returns the traits that are accused.
+func (q *Quarantine) accusedOf(traits Traits) []Trait {
+	return slices.DeleteFunc(traits.all(), func(t Trait) bool { return !q.isAccused(t) })
+}
+
 func (q *Quarantine) unsettled(now time.Time) bool {
 	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return now.Sub(c.At) < settleTime })
 }
 
-// BeginTrial records that this entry sends a request to try the trait.
-func (q *Quarantine) BeginTrial(now time.Time, t Trait) {
-	q.PeerTrial(now, t)
-	if a := q.accused[t]; a != nil {
-		a.ownTrial = a.lifecycle.In("trial")
+// BeginTrial records that this entry sends a request to try the traits.
+func (q *Quarantine) BeginTrial(now time.Time, traits Traits) {
+	for _, t := range traits.all() {
+		q.PeerTrial(now, t)
+		if a := q.accused[t]; a != nil {
+			a.ownTrial = a.lifecycle.In("trial")
+		}
 	}
 }
 
@@ -210,6 +241,7 @@
 // traits. It returns the proofs that matter to other entries.
 func (q *Quarantine) Output(now time.Time, traits Traits) []Proof {
 	q.latestOutput = now
+	q.served++
 	var news []Proof
 	for _, t := range traits.all() {
 		if q.suspected(t) {
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -56,8 +56,8 @@
 	must.False(t, allowed(q, 5*time.Second, "first", "deadly"), must.Sprint("a request with two accused parts proves nothing"))
 	d := q.Check(at(5*time.Second), parts("first"))
 	must.True(t, d.Send)
-	must.Eq(t, quarantine.Trait{Part: "first"}, d.Trial)
-	q.BeginTrial(at(5*time.Second), quarantine.Trait{Part: "first"})
+	must.Eq(t, parts("first"), d.Trial)
+	q.BeginTrial(at(5*time.Second), parts("first"))
 	must.False(t, allowed(q, 5*time.Second, "first"), must.Sprint("one trial at a time"))
 	q.Output(at(5200*time.Millisecond), parts("first"))
 	must.True(t, allowed(q, 6*time.Second, "first"))
@@ -79,8 +79,8 @@
 	q := quarantine.New(nil)
 	crashed(q, "s1", 0, waiting("new"))
 	must.False(t, allowed(q, time.Second, "new"))
-	must.Eq(t, quarantine.Trait{Part: "new"}, q.Check(at(4*time.Second), parts("new")).Trial)
-	q.BeginTrial(at(4*time.Second), quarantine.Trait{Part: "new"})
+	must.Eq(t, parts("new"), q.Check(at(4*time.Second), parts("new")).Trial)
+	q.BeginTrial(at(4*time.Second), parts("new"))
 	q.Output(at(4100*time.Millisecond), parts("new"))
 	must.True(t, allowed(q, 5*time.Second, "new"))
 	must.Eq(t, quarantine.Decision{Send: true}, q.Check(at(5*time.Second), parts("new")), must.Sprint("no longer accused"))
@@ -194,7 +194,7 @@
 func TestTrialWithoutResultIsFollowedByTheNext(t *testing.T) {
 	q := quarantine.New(nil)
 	crashed(q, "s1", 0, waiting("p"))
-	q.BeginTrial(at(4*time.Second), quarantine.Trait{Part: "p"})
+	q.BeginTrial(at(4*time.Second), parts("p"))
 	q.AttemptEnded(at(4010*time.Millisecond), parts("p"))
 	must.True(t, allowed(q, 4020*time.Millisecond, "p"))
 }
@@ -210,8 +210,8 @@
 		must.GreaterEq(t, previous, wait)
 		must.LessEq(t, 10*time.Minute, wait)
 		now, previous = now+wait, wait
-		must.Eq(t, quarantine.Trait{Part: "deadly"}, q.Check(at(now), parts("deadly")).Trial, must.Sprintf("trial %d", n))
-		q.BeginTrial(at(now), quarantine.Trait{Part: "deadly"})
+		must.Eq(t, parts("deadly"), q.Check(at(now), parts("deadly")).Trial, must.Sprintf("trial %d", n))
+		q.BeginTrial(at(now), parts("deadly"))
 	}
 	must.Eq(t, 10*time.Minute, previous)
 	crashed(q, "h", now, suspect("deadly"))
@@ -234,7 +234,7 @@
 func TestCrashOfATrialClearsTheOtherSuspects(t *testing.T) {
 	q := quarantine.New(nil)
 	crashed(q, "s1", 0, suspect("a", "b"))
-	q.BeginTrial(at(4*time.Second), quarantine.Trait{Part: "a"})
+	q.BeginTrial(at(4*time.Second), parts("a"))
 	crashed(q, "s2", 4100*time.Millisecond, suspect("a"))
 	must.False(t, allowed(q, 30*time.Second, "a"))
 	must.True(t, allowed(q, 5*time.Second, "b"))
--- a/internal/decide/quarantine/random_test.go
+++ b/internal/decide/quarantine/random_test.go
@@ -79,11 +79,13 @@
 	if watched {
 		d.served++
 	}
-	if decision.Trial != (quarantine.Trait{}) {
+	if !decision.Trial.Empty() {
 		q.BeginTrial(at(d.now), decision.Trial)
 		for _, e := range d.entries {
 			if e != q {
-				e.PeerTrial(at(d.now), decision.Trial)
+				for _, part := range decision.Trial.Parts {
+					e.PeerTrial(at(d.now), quarantine.Trait{Part: part})
+				}
 			}
 		}
 	}
--- a/internal/decide/quarantine/servers_test.go
+++ b/internal/decide/quarantine/servers_test.go
@@ -39,10 +39,23 @@
 	// and rareParts gives sound requests a second part that few others have.
 	crashAfterHead, rareParts bool
 	// cuts lets each link between two entries be cut again and again, a fifth of the time.
-	cuts   bool
+	cuts bool
+	// lost is the share of the messages between entries that are lost.
+	lost   float64
 	length time.Duration
+	// version, if not nil, is the version of the prompts of deadly requests, and from
+	// versionLag after the first of these also of sound ones.
+	version    *promptVersion
+	versionLag time.Duration
+	// otherCrashes is how many servers crash for another reason within 6 s after firstDeadly.
+	otherCrashes int
+	// slowness multiplies the time from the head of an answer to the first output.
+	slowness int
 }
 
+// firstDeadly is when the first deadly request of a new version of prompts comes.
+const firstDeadly = calmLength + 500*time.Millisecond
+
 // poisonedRun is a run of such a day.
 type poisonedRun struct {
 	poisonedDay
@@ -110,7 +123,15 @@
 		}
 	}
 	r.arrive(r.soundPerSecond, r.newSound)
-	r.after(calmLength, func() {
+	begin := calmLength
+	if r.version != nil {
+		begin = firstDeadly
+		r.after(firstDeadly, r.newDeadly)
+	}
+	for range r.otherCrashes {
+		r.after(firstDeadly+time.Duration(r.random.Int64N(int64(2*contactTime))), func() { r.crash(r.servers[r.random.IntN(len(r.servers))]) })
+	}
+	r.after(begin, func() {
 		r.arrive(r.deadlyPerSecond/float64(r.atOnce), func() {
 			for range r.atOnce {
 				r.newDeadly()
@@ -145,6 +166,10 @@
 }
 
 func (r *poisonedRun) newSound() {
+	if r.version != nil && r.now >= firstDeadly+r.versionLag {
+		r.newRequest(false, r.version.sound(r.random)...)
+		return
+	}
 	if r.rareParts {
 		r.newRequest(false, "shared", ident.PromptPart(fmt.Sprint("rare-", r.random.IntN(2000))))
 		return
@@ -152,7 +177,13 @@
 	r.newRequest(false, "shared")
 }
 
-func (r *poisonedRun) newDeadly() { r.newRequest(true, "deadly", "shared") }
+func (r *poisonedRun) newDeadly() {
+	if r.version != nil {
+		r.newRequest(true, r.version.deadly(r.random)...)
+		return
+	}
+	r.newRequest(true, "deadly", "shared")
+}
 
 func (r *poisonedRun) send(q *simulatedRequest, mayWait bool) {
 	entry := r.entries[q.entry]
@@ -174,7 +205,7 @@
 	if len(up) == 0 {
 		return
 	}
-	if decision.Trial != (quarantine.Trait{}) {
+	if !decision.Trial.Empty() {
 		r.tell(q.entry, entry.BeginTrial(at(r.now), "svc", decision.Trial))
 	}
 	s := up[r.random.IntN(len(up))]
@@ -202,7 +233,7 @@
 		r.after(time.Millisecond, func() { r.crash(s) })
 		return
 	}
-	r.after(firstOutputTime, func() {
+	r.after(time.Duration(max(r.slowness, 1))*firstOutputTime, func() {
 		if n := slices.Index(s.inFlight, q); n >= 0 && q.attempt == attempt {
 			s.inFlight = slices.Delete(s.inFlight, n, n+1)
 			q.answered = attempt == 1
@@ -236,7 +267,7 @@
 func (r *poisonedRun) tell(from int, messages []message.Message) {
 	for _, m := range messages {
 		for n := range r.entries {
-			if n == from || r.cut[[2]int{min(from, n), max(from, n)}] {
+			if n == from || r.cut[[2]int{min(from, n), max(from, n)}] || r.lost > 0 && r.random.Float64() < r.lost {
 				continue
 			}
 			r.after(time.Millisecond+time.Duration(r.random.Int64N(int64(8*time.Millisecond))), func() {
@@ -348,7 +379,7 @@
 		crashed(q, ident.ServerID(fmt.Sprint("s", n)), d, running(request(first, "shared")), running(request(first+1, "shared")))
 	}
 	d := q.Check(at(5100*time.Millisecond), request(100, "shared"))
-	must.Eq(t, quarantine.Trait{Part: "shared"}, d.Trial)
+	must.Eq(t, parts("shared"), d.Trial)
 	q.BeginTrial(at(5100*time.Millisecond), d.Trial)
 	q.Output(at(5200*time.Millisecond), request(100, "shared"))
 	must.Eq(t, quarantine.Decision{Send: true}, q.Check(at(5300*time.Millisecond), request(101, "shared")))
@@ -366,7 +397,7 @@
 		crashed(q, ident.ServerID(fmt.Sprint("s", n)), d, running(request(first, "turned")), running(request(first+1, "turned")))
 	}
 	d := q.Check(at(5100*time.Millisecond), request(100, "turned"))
-	must.Eq(t, quarantine.Trait{Part: "turned"}, d.Trial)
+	must.Eq(t, parts("turned"), d.Trial)
 	q.BeginTrial(at(5100*time.Millisecond), d.Trial)
 	crashed(q, "s9", 5200*time.Millisecond, running(request(100, "turned")))
 	must.False(t, sent(q, 60*time.Second, request(101, "turned")))
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -8,6 +8,10 @@
 	"github.com/anvilpoint/anvilpoint/internal/message"
 )
 
+// maxToldTrials bounds the traits of a trial that others are told. Requests with a trait in
+// common with the trial mostly have several in common.
+const maxToldTrials = 32
+
 // Set holds the quarantines of all services. What it returns as messages is meant for all
 // other processes that send requests to the servers; they pass it to Handle. It is owned by
 // one task and not safe for concurrent use.
@@ -36,10 +40,14 @@
 	return s.of(service).Check(now, traits)
 }
 
-// BeginTrial records that this process sends a request to try the trait.
-func (s *Set) BeginTrial(now time.Time, service ident.ServiceName, t Trait) []message.Message {
-	s.of(service).BeginTrial(now, t)
-	return []message.Message{&message.TraitTrial{Service: service, Part: t.Part, Request: t.Request}}
+// BeginTrial records that this process sends a request to try the traits.
+func (s *Set) BeginTrial(now time.Time, service ident.ServiceName, traits Traits) []message.Message {
+	s.of(service).BeginTrial(now, traits)
+	var list []message.Message
+	for _, t := range traits.all()[:min(len(traits.all()), maxToldTrials)] {
+		list = append(list, &message.TraitTrial{Service: service, Part: t.Part, Request: t.Request})
+	}
+	return list
 }
 
 // Refused records that a request was refused because Check did not allow it.
--- a/internal/decide/quarantine/trait.go
+++ b/internal/decide/quarantine/trait.go
@@ -45,6 +45,22 @@
 	return t
 }
 
+// traitsOf is the inverse of Traits.all.
+func traitsOf(list []Trait) Traits {
+	var t Traits
+	for _, one := range list {
+		if one.whole() {
+			t.Request = one.Request
+		} else {
+			t.Parts = append(t.Parts, one.Part)
+		}
+	}
+	return t
+}
+
+// Empty reports whether there are no traits.
+func (t Traits) Empty() bool { return t.Request == 0 && len(t.Parts) == 0 }
+
 // all returns the traits, the one of the whole request first.
 func (t Traits) all() []Trait {
 	list := make([]Trait, 0, len(t.Parts)+1)
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -78,10 +78,10 @@
 	crashed(q, "s1", time.Second, silent(request(7)))
 	crashed(q, "s2", 1100*time.Millisecond, quarantine.Suspect{Traits: request(7), Silent: true, Repeated: true})
 	must.False(t, sent(q, 4*time.Second, request(7)))
-	q.BeginTrial(at(5*time.Second), quarantine.Trait{Request: 7})
+	q.BeginTrial(at(5*time.Second), request(7))
 	q.Output(at(5*time.Second), request(8))
 	crashed(q, "s3", 5100*time.Millisecond, silent(request(7)))
-	q.BeginTrial(at(9*time.Second), quarantine.Trait{Request: 7})
+	q.BeginTrial(at(9*time.Second), request(7))
 	q.Output(at(9*time.Second), request(8))
 	crashed(q, "s1", 9100*time.Millisecond, silent(request(7)))
 	must.False(t, sent(q, 60*time.Second, request(7)))
@@ -109,12 +109,12 @@
 	must.False(t, sent(q, 50*time.Second, request(8)))
 	for _, f := range []ident.Fingerprint{8, 9} {
 		d := q.Check(at(61*time.Second), request(f))
-		must.Eq(t, quarantine.Trait{Request: f}, d.Trial)
+		must.Eq(t, request(f), d.Trial)
 		q.BeginTrial(at(61*time.Second), d.Trial)
 		q.Output(at(62*time.Second), request(f))
 		must.True(t, sent(q, 62*time.Second, request(f)))
 	}
-	q.BeginTrial(at(62*time.Second), quarantine.Trait{Request: 7})
+	q.BeginTrial(at(62*time.Second), request(7))
 	crashed(q, "s2", 63*time.Second, running(request(7)))
 	must.False(t, sent(q, 5*time.Minute, request(7)))
 }
@@ -234,7 +234,7 @@
 	}
 	d := starting.Check(at(300*time.Second), "svc", request(3, "quiet"))
 	must.True(t, d.Send)
-	must.Eq(t, quarantine.Trait{}, d.Trial, must.Sprint("the part is not accused"))
+	must.Eq(t, quarantine.Traits{}, d.Trial, must.Sprint("the part is not accused"))
 }
 
 // Guards against a request that is sent again after all entries were restarted one by one,
@@ -265,7 +265,7 @@
 	}
 	for _, s := range []*quarantine.Set{own, other} {
 		d := s.Check(at(4*time.Second), "svc", request(8, "rare"))
-		must.Eq(t, quarantine.Trait{Part: "rare"}, d.Trial)
+		must.Eq(t, parts("rare"), d.Trial)
 		s.Output(at(5*time.Second), "svc", request(8, "rare"))
 		must.Eq(t, quarantine.Decision{Send: true}, s.Check(at(6*time.Second), "svc", request(9, "rare")))
 		must.False(t, s.Check(at(50*time.Second), "svc", request(7, "rare")).Send)
--- a/internal/entry/activerequest.go
+++ b/internal/entry/activerequest.go
@@ -86,8 +86,8 @@
 	// output. crashes counts such attempts.
 	serverCrashed bool
 	crashes       int
-	// trial is the accused trait that the request tries, if any.
-	trial quarantine.Trait
+	// trial are the accused traits that the request tries, if any.
+	trial quarantine.Traits
 	// gapDeadline is when an answer whose end has arrived counts as failed because
 	// pieces are still missing. Zero means that no pieces are missing.
 	gapDeadline time.Time
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -324,7 +324,7 @@
 	r.receiver.Begin(a.Attempt)
 	d.attempts[r.key] = r
 	r.offeredAt, r.hasOutput, r.serverCrashed = now, false, false
-	if r.trial != (quarantine.Trait{}) {
+	if !r.trial.Empty() {
 		d.noteEvidence(now, d.quarantine.BeginTrial(now, r.quarantineKey(), r.trial))
 	}
 	d.picker.started(now, a.Server, r.id, r.query)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -64,7 +64,7 @@
 // that says so. A request that may have crashed a server is never a trial.
 func (d *dispatch) mayOffer(now time.Time, r *activeRequest) (request.NoServer, bool) {
 	decision := d.quarantine.Check(now, r.quarantineKey(), r.traits)
-	if decision.Send && (decision.Trial == (quarantine.Trait{}) || r.crashes == 0) {
+	if decision.Send && (decision.Trial.Empty() || r.crashes == 0) {
 		r.trial = decision.Trial
 		return request.NoServer{}, true
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -69,7 +69,7 @@
 // A request that may have crashed a server is never a trial.
 func (d *dispatch) mayRetry(now time.Time, m choose) (choice, bool) {
 	decision := d.quarantine.Check(now, m.service, m.traits)
-	if decision.Send && decision.Trial == (quarantine.Trait{}) {
+	if decision.Send && decision.Trial.Empty() {
 		return choice{}, true
 	}
 	return choice{reason: outcome.ReasonQuarantined, retryAfter: d.quarantineRetryAfter(decision), unsettled: decision.Unsettled}, false
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/intake"
-	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 	"github.com/anvilpoint/anvilpoint/internal/record"
@@ -115,7 +114,7 @@
 		case !decision.Send && !decision.Unsettled:
 			w.reply <- d.refuseQuarantined(now, w.admission, decision)
 		case decision.Send && d.tryAdmit(now, w, full):
-			if decision.Trial != (quarantine.Trait{}) {
+			if !decision.Trial.Empty() {
 				d.noteEvidence(now, d.quarantine.BeginTrial(now, w.service, decision.Trial))
 			}
 			w.waited = now.Sub(w.arrived)
