quarantine: watch all parts of a prompt

Callers saw one server a second crash: a deadly part that is the tenth of a prompt was never held.

Cause: TraitsOf dropped parts after the eighth and ids of more than 64 bytes, so that a bound on memory was one on what is watched.

All parts are traits now, long ids by a digest. Memory is bounded by what is reported and kept: a report names all parts without a proof and few of the others, and traits that are shown to be sound leave the evidence, which has as many traits in all as before. Messages have the same kinds and fields. Related: a part that turned deadly was never blamed beside parts that no other request has; it is from the third crash on.

TestEvidenceIsBounded demanded that parts over the bounds are no traits. That is the fault; it now demands that each is one of bounded size, and new tests bound the parts of a report and of all crashes.

--- a/internal/decide/quarantine/crash.go
+++ b/internal/decide/quarantine/crash.go
@@ -30,9 +30,10 @@
 	proven map[Trait]bool
 	// outage numbers the outage in which the server crashed.
 	outage int
-	// uses holds how the suspects have each of their traits. It is computed by index.
+	// uses holds how the suspects have each of their open traits, those that were not shown to
+	// be sound since the crash. add and update keep it.
 	uses map[Trait]*traitUse
-	// traits are the traits of the suspects, in their order.
+	// traits are the open traits of the suspects, in their order.
 	traits []Trait
 }
 
@@ -49,25 +50,30 @@
 	suspects []Suspect
 }
 
+// equal reports whether the two are one request. Entries may name different parts of it.
 func (s Suspect) equal(other Suspect) bool {
-	return s.Began == other.Began && s.Silent == other.Silent && s.Repeated == other.Repeated && s.Traits.equal(other.Traits)
+	return s.Began == other.Began && s.Silent == other.Silent && s.Repeated == other.Repeated &&
+		s.Request == other.Request && (s.Request != 0 || slices.Equal(s.Parts, other.Parts))
 }
 
-// index computes what depends on the suspects only.
-func (c *Crash) index() {
-	c.uses, c.traits = make(map[Trait]*traitUse), nil
-	for _, s := range c.Suspects {
-		for _, t := range s.all() {
-			u := c.uses[t]
-			if u == nil {
-				u = &traitUse{sole: true}
-				c.uses[t] = u
-				c.traits = append(c.traits, t)
-			} else {
-				u.sole = false
-			}
-			u.add(s)
+// full reports whether no more suspects are added.
+func (c *Crash) full() bool {
+	return len(c.Suspects) >= maxSuspects || len(c.uses) >= maxCrashTraits
+}
+
+// add adds a suspect with its traits.
+func (c *Crash) add(s Suspect) {
+	c.Suspects = append(c.Suspects, s)
+	for _, t := range s.all() {
+		u := c.uses[t]
+		if u == nil {
+			u = &traitUse{sole: true}
+			c.uses[t] = u
+			c.traits = append(c.traits, t)
+		} else {
+			u.sole = false
 		}
+		u.add(s)
 	}
 }
 
@@ -82,51 +88,52 @@
 	}
 }
 
-// open returns the traits of the suspects without those that are shown to be sound since.
-func (c *Crash) open(known *proofs) []Trait {
-	var open []Trait
-	for _, t := range c.traits {
-		if !known.since(t, c.At.Add(proofLag)) {
-			open = append(open, t)
+// update drops the traits of the suspects that were shown to be sound since, and records
+// which of the others were shown to be sound before.
+func (c *Crash) update(known *proofs) {
+	c.traits = slices.DeleteFunc(c.traits, func(t Trait) bool {
+		at, ok := known.latest(t)
+		if !ok {
+			return false
 		}
-	}
-	return open
-}
-
-// noteProofs records which traits of the suspects were shown to be sound at any time.
-func (c *Crash) noteProofs(known *proofs) {
-	for t := range c.uses {
-		if _, ok := known.latest(t); ok {
-			c.proven[t] = true
+		c.proven[t] = true
+		if at.After(c.At.Add(proofLag)) {
+			delete(c.uses, t)
+			return true
 		}
-	}
+		return false
+	})
 }
 
-// candidates returns the open traits that may explain the crash, of each kind.
-func (c *Crash) candidates(open []Trait, outages map[Trait]int) []Trait {
+// candidates returns the traits that may explain the crash, of each kind.
+func (c *Crash) candidates(outages map[Trait]int) []Trait {
 	isWhole := func(t Trait) bool { return t.whole() }
 	isPart := func(t Trait) bool { return !t.whole() }
-	return slices.Concat(c.candidatesOf(isPart, open, outages), c.candidatesOf(isWhole, open, outages))
+	return slices.Concat(c.candidatesOf(isPart, outages), c.candidatesOf(isWhole, outages))
 }
 
 // candidatesOf returns the open traits of one kind that may explain the crash: those that
 // were never shown to be sound, and if there are none, those that were suspects in two
-// outages and were not shown to be sound in between.
+// outages and were not shown to be sound in between. A part that was a suspect in three of
+// them counts in any case, since it may hide behind parts that no other request has.
 //
 // Of either, the server was more likely to run a request to which it was about to write an
 // answer, so the traits of others count only if there are none of such requests. They do
 // not clear the others, though: a request may crash its server before the head of the
 // answer, while the server writes to sound ones. A trait that was never shown to be sound
 // and was a suspect in two outages counts in any case.
-func (c *Crash) candidatesOf(kind func(Trait) bool, open []Trait, outages map[Trait]int) []Trait {
+func (c *Crash) candidatesOf(kind func(Trait) bool, outages map[Trait]int) []Trait {
 	var unproven, repeated candidates
-	for _, t := range open {
+	for _, t := range c.traits {
 		switch {
 		case !kind(t):
 		case !c.proven[t]:
 			unproven.add(t, c.uses[t].began, outages[t] > 1)
 		case outages[t] > 1:
 			repeated.add(t, c.uses[t].began, false)
+			if outages[t] > 2 && !t.whole() {
+				unproven.recurring = append(unproven.recurring, t)
+			}
 		}
 	}
 	if list := unproven.likeliest(); len(list) > 0 {
--- a/internal/decide/quarantine/evidence.go
+++ b/internal/decide/quarantine/evidence.go
@@ -30,7 +30,8 @@
 // assess computes anew which traits are accused, and for how long each is held.
 func (q *Quarantine) assess(now time.Time) {
 	q.crashes = slices.DeleteFunc(q.crashes, func(c *Crash) bool {
-		return now.Sub(c.At) > memoryTime || len(c.open(&q.proofs)) == 0
+		c.update(&q.proofs)
+		return now.Sub(c.At) > memoryTime || len(c.traits) == 0
 	})
 	blamed := q.blame()
 	weights := q.weigh(blamed)
@@ -58,15 +59,10 @@
 
 // blame returns the traits that may explain each crash, by the index of the crash.
 func (q *Quarantine) blame() [][]Trait {
-	open := make([][]Trait, len(q.crashes))
-	for n, c := range q.crashes {
-		c.noteProofs(&q.proofs)
-		open[n] = c.open(&q.proofs)
-	}
-	outages := q.countOutages(open)
+	outages := q.countOutages()
 	blamed := make([][]Trait, len(q.crashes))
 	for n, c := range q.crashes {
-		blamed[n] = c.candidates(open[n], outages)
+		blamed[n] = c.candidates(outages)
 	}
 	weights := q.weigh(blamed)
 	for n := range blamed {
@@ -117,9 +113,14 @@
 // just told is assessed before.
 func (q *Quarantine) forget(now time.Time) {
 	q.crashes = slices.DeleteFunc(q.crashes, func(c *Crash) bool {
-		blames := slices.ContainsFunc(c.open(&q.proofs), func(t Trait) bool { return q.accused[t] != nil })
-		return now.Sub(c.At) > proofTime && !blames
+		return now.Sub(c.At) > proofTime && !slices.ContainsFunc(c.traits, q.isAccused)
 	})
+	q.suspected = make(map[Trait]bool)
+	for _, c := range q.crashes {
+		for _, t := range c.traits {
+			q.suspected[t] = true
+		}
+	}
 }
 
 // accuse holds the trait until the time, unless it is held until then already.
@@ -146,11 +147,11 @@
 // countOutages counts the outages in which each trait was a suspect since it was last shown
 // to be sound. A request that crashes a second server counts as one more, against what was a
 // suspect in the first crash, too.
-func (q *Quarantine) countOutages(open [][]Trait) map[Trait]int {
+func (q *Quarantine) countOutages() map[Trait]int {
 	counts, latest := make(map[Trait]int), make(map[Trait]int)
 	requests := make(distinctRequests)
-	for n, c := range q.crashes {
-		for _, t := range open[n] {
+	for _, c := range q.crashes {
+		for _, t := range c.traits {
 			if !requests.add(c, t) {
 				continue
 			}
--- a/internal/decide/quarantine/proofs.go
+++ b/internal/decide/quarantine/proofs.go
@@ -34,9 +34,3 @@
 	}
 	return at, ok
 }
-
-// since reports whether the trait was shown to be sound after the time.
-func (k *proofs) since(t Trait, at time.Time) bool {
-	latest, ok := k.latest(t)
-	return ok && latest.After(at)
-}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -53,10 +53,16 @@
 	// settleTime is how long after a crash the reports and proofs of other entries may
 	// still arrive.
 	settleTime = 300 * time.Millisecond
-	// maxCrashes bounds the crashes that are remembered, maxSuspects the suspects of each. An
-	// assessment reads all their traits.
+	// maxCrashes bounds the crashes that are remembered, maxSuspects the suspects of each.
 	maxCrashes  = 64
 	maxSuspects = 32
+	// maxCrashTraits bounds the traits of a crash and maxTraits those of all crashes, which an
+	// assessment reads. One request of maxParts parts has room.
+	maxCrashTraits = 2 * maxParts
+	maxTraits      = 4 * maxParts
+	// maxProvenParts bounds the parts of a suspect that are named though they were shown to be
+	// sound. The others are those without a proof.
+	maxProvenParts = 32
 )
 
 // Transition is a change of the state of an accused trait, for the log.
@@ -74,7 +80,9 @@
 	observe func(Transition)
 	proofs  proofs
 	crashes []*Crash
-	accused map[Trait]*accusedTrait
+	// suspected are the open traits of the crashes.
+	suspected map[Trait]bool
+	accused   map[Trait]*accusedTrait
 	// inseparable are the sets of accused parts that the evidence does not tell apart.
 	inseparable []*inseparable
 	sightings   sightings
@@ -244,7 +252,7 @@
 	q.served++
 	var news []Proof
 	for _, t := range traits.all() {
-		if q.suspected(t) {
+		if q.suspected[t] {
 			news = append(news, Proof{Trait: t, At: now})
 		}
 		q.proofs.add(t, now)
@@ -257,16 +265,39 @@
 
 // AddProofs records the proofs of another entry.
 func (q *Quarantine) AddProofs(now time.Time, proofs []Proof) {
+	relevant := false
 	for _, p := range proofs {
 		q.proofs.add(p.Trait, p.At)
+		relevant = relevant || q.suspected[p.Trait]
+	}
+	if relevant {
+		q.assess(now)
 	}
-	q.assess(now)
 }
 
-// suspected reports whether a crash is remembered to which the trait may be the key, and no
-// output since has shown that it is sound.
-func (q *Quarantine) suspected(t Trait) bool {
-	return slices.ContainsFunc(q.crashes, func(c *Crash) bool { return c.uses[t] != nil && !q.proofs.since(t, c.At.Add(proofLag)) })
+// Name returns the suspect with the parts that a crash can be about: those without a proof,
+// and of the others the ones that were shown to be sound last, since one of them may have
+// turned deadly.
+func (q *Quarantine) Name(s Suspect) Suspect {
+	type proven struct {
+		part ident.PromptPart
+		at   time.Time
+	}
+	var named []ident.PromptPart
+	var others []proven
+	for _, p := range s.Parts {
+		if at, ok := q.proofs.latest(Trait{Part: p}); ok {
+			others = append(others, proven{part: p, at: at})
+		} else {
+			named = append(named, p)
+		}
+	}
+	slices.SortStableFunc(others, func(a, b proven) int { return b.at.Compare(a.at) })
+	for _, p := range others[:min(len(others), maxProvenParts)] {
+		named = append(named, p.part)
+	}
+	s.Parts = named
+	return s
 }
 
 // AddCrash records a crash that this entry or another one reports. It returns this entry's
@@ -280,14 +311,19 @@
 // proofsAbout returns the proofs about the traits of the suspects.
 func (q *Quarantine) proofsAbout(c Crash) []Proof {
 	var known []Proof
+	seen := make(map[Trait]bool)
 	for _, s := range c.Suspects {
 		for _, t := range s.all() {
+			if seen[t] {
+				continue
+			}
+			seen[t] = true
 			at, ok := q.proofs.latest(t)
 			if !ok && c.proven[t] {
 				// The proof is forgotten, and was from before the crash.
 				at, ok = c.At, true
 			}
-			if ok && !slices.ContainsFunc(known, func(other Proof) bool { return other.Trait == t }) {
+			if ok {
 				known = append(known, Proof{Trait: t, At: at})
 			}
 		}
@@ -299,7 +335,7 @@
 func (q *Quarantine) knowsCrash(c Crash) bool {
 	known := q.sameCrash(c)
 	return known != nil && !slices.ContainsFunc(c.Suspects, func(s Suspect) bool {
-		return len(known.Suspects) < maxSuspects && !slices.ContainsFunc(known.Suspects, s.equal)
+		return !known.full() && !slices.ContainsFunc(known.Suspects, s.equal)
 	})
 }
 
@@ -327,26 +363,31 @@
 
 // merge adds a crash to those remembered, or its suspects to the same crash.
 func (q *Quarantine) merge(c Crash) {
-	if known := q.sameCrash(c); known != nil {
-		for _, s := range c.Suspects {
-			if len(known.Suspects) < maxSuspects && !slices.ContainsFunc(known.Suspects, s.equal) {
-				known.Suspects = append(known.Suspects, s)
-			}
+	known := q.sameCrash(c)
+	if known == nil {
+		known = &Crash{Server: c.Server, At: c.At, outage: q.outageOf(c.At), proven: make(map[Trait]bool), uses: make(map[Trait]*traitUse)}
+		q.crashes = append(q.crashes, known)
+	}
+	for _, s := range c.Suspects {
+		if !known.full() && !slices.ContainsFunc(known.Suspects, s.equal) {
+			known.add(s)
 		}
-		known.index()
-		return
 	}
-	c.outage = q.outageOf(c.At)
-	c.proven = make(map[Trait]bool)
-	c.Suspects = c.Suspects[:min(len(c.Suspects), maxSuspects)]
-	c.index()
-	q.crashes = append(q.crashes, &c)
-	if len(q.crashes) > maxCrashes {
+	for len(q.crashes) > maxCrashes || len(q.crashes) > 1 && q.countTraits() > maxTraits {
 		n := q.leastTelling()
 		q.crashes = slices.Delete(q.crashes, n, n+1)
 	}
 }
 
+// countTraits returns the number of open traits of all crashes.
+func (q *Quarantine) countTraits() int {
+	n := 0
+	for _, c := range q.crashes {
+		n += len(c.traits)
+	}
+	return n
+}
+
 // leastTelling returns the index of the oldest crash whose suspects have nothing in common
 // with those of another, or of the oldest one.
 func (q *Quarantine) leastTelling() int {
--- a/internal/decide/quarantine/servers_test.go
+++ b/internal/decide/quarantine/servers_test.go
@@ -157,7 +157,7 @@
 func (r *poisonedRun) newRequest(deadly bool, p ...ident.PromptPart) {
 	r.nextID++
 	q := &simulatedRequest{
-		traits: quarantine.Traits{Request: r.nextID, Parts: p}, entry: r.random.IntN(len(r.entries)), sent: r.now, deadly: deadly,
+		traits: quarantine.TraitsOf(r.nextID, p), entry: r.random.IntN(len(r.entries)), sent: r.now, deadly: deadly,
 	}
 	if !deadly {
 		r.sound = append(r.sound, q)
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -70,9 +70,10 @@
 
 // Crashed records that a server crashed before the first output of a request.
 func (s *Set) Crashed(now time.Time, service ident.ServiceName, server ident.ServerID, suspect Suspect) []message.Message {
-	c := Crash{Server: server, At: now, Suspects: []Suspect{suspect}}
+	q := s.of(service)
+	c := Crash{Server: server, At: now, Suspects: []Suspect{q.Name(suspect)}}
 	report := crashReport(now, service, c)
-	return append([]message.Message{report}, proofMessages(now, service, s.of(service).AddCrash(now, c))...)
+	return append([]message.Message{report}, proofMessages(now, service, q.AddCrash(now, c))...)
 }
 
 // Handle adds what another process reports to the evidence. Messages of other kinds are
--- a/internal/decide/quarantine/trait.go
+++ b/internal/decide/quarantine/trait.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -18,10 +19,13 @@
 func (t Trait) whole() bool { return t.Request != 0 }
 
 const (
-	// maxParts is the number of prompt parts of a request that are traits of it.
-	maxParts = 8
-	// maxPartBytes is the size of the longest id of a part that is a trait.
+	// maxParts is the number of prompt parts of a request that are traits each. The shortest
+	// ids of 4096 parts fill a head of 16 KiB, the most that operators allow.
+	maxParts = 4096
+	// maxPartBytes is the size of the longest id of a part that is kept as it is.
 	maxPartBytes = 64
+	// digestBytes is the size of the digest that replaces a longer id.
+	digestBytes = 16
 )
 
 // Traits are the traits of one request.
@@ -33,18 +37,37 @@
 }
 
 // TraitsOf returns the traits of a request with the fingerprint and the shared prompt parts.
-// Clients choose how many parts they name and how; what exceeds the bounds is no trait. The
-// result shares no memory with the parts.
+// Clients choose how many parts they name and how: a long id is replaced by its digest, and
+// the parts beyond maxParts are one trait together. The parts of the result are in order, each
+// once, and share no memory with the argument.
 func TraitsOf(request ident.Fingerprint, parts []ident.PromptPart) Traits {
 	t := Traits{Request: request}
-	for _, p := range parts[:min(len(parts), maxParts)] {
-		if len(p) <= maxPartBytes {
+	if len(parts) == 0 {
+		return t
+	}
+	each := parts[:min(len(parts), maxParts)]
+	t.Parts = make([]ident.PromptPart, 0, len(each)+1)
+	for _, p := range each {
+		if len(p) > maxPartBytes {
+			t.Parts = append(t.Parts, digest(p))
+		} else {
 			t.Parts = append(t.Parts, ident.PromptPart(strings.Clone(string(p))))
 		}
 	}
+	if rest := parts[len(each):]; len(rest) > 0 {
+		t.Parts = append(t.Parts, digest(rest...))
+	}
+	slices.Sort(t.Parts)
+	t.Parts = slices.Compact(t.Parts)
 	return t
 }
 
+// digest returns an id of fixed size for the parts. It is the same in all processes.
+func digest(parts ...ident.PromptPart) ident.PromptPart {
+	sum := ContentOf("", "", nil, parts...)
+	return ident.PromptPart(fmt.Sprintf("sha256-%x", sum[:digestBytes]))
+}
+
 // traitsOf is the inverse of Traits.all.
 func traitsOf(list []Trait) Traits {
 	var t Traits
@@ -72,7 +95,3 @@
 	}
 	return list
 }
-
-func (t Traits) equal(other Traits) bool {
-	return t.Request == other.Request && slices.Equal(t.Parts, other.Parts)
-}
--- a/internal/decide/quarantine/whole_test.go
+++ b/internal/decide/quarantine/whole_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
+	"github.com/anvilpoint/anvilpoint/internal/message"
 )
 
 // request returns the traits of a request with the fingerprint and prompt parts.
@@ -340,12 +341,14 @@
 // names, and many requests in flight at a crash.
 func TestEvidenceIsBounded(t *testing.T) {
 	long := ident.PromptPart(strings.Repeat("x", 16<<10))
-	many := make([]ident.PromptPart, 1000)
+	many := make([]ident.PromptPart, 100_000)
 	for n := range many {
 		many[n] = ident.PromptPart(fmt.Sprint("part-", n))
 	}
-	must.SliceEmpty(t, quarantine.TraitsOf(1, []ident.PromptPart{long}).Parts)
-	must.SliceLen(t, 8, quarantine.TraitsOf(1, many).Parts)
+	for _, p := range quarantine.TraitsOf(1, []ident.PromptPart{long}).Parts {
+		must.LessEq(t, 64, len(p))
+	}
+	must.SliceLen(t, 4096+1, quarantine.TraitsOf(1, many).Parts)
 
 	q := quarantine.New(nil)
 	for n := range 100 {
@@ -362,6 +365,39 @@
 	}
 }
 
+// Guards against memory that grows with the parts of the prompts that are in flight at
+// crashes.
+func TestPartsOfAllCrashesAreBounded(t *testing.T) {
+	q := quarantine.New(nil)
+	for n := range 6 {
+		for m := range 8 {
+			list := longPrompt(1000, 0)
+			for k := range list {
+				list[k] += ident.PromptPart(fmt.Sprint(n, ".", m))
+			}
+			crashed(q, ident.ServerID(fmt.Sprint("s", n)), time.Duration(n)*time.Second, running(quarantine.TraitsOf(ident.Fingerprint(n*100+m+1), list)))
+		}
+	}
+	parts := 0
+	for _, c := range q.Crashes() {
+		for _, s := range c.Suspects {
+			parts += len(s.Parts)
+		}
+	}
+	must.LessEq(t, 4*4096+4096, parts)
+}
+
+// Guards against a report that grows with the parts of sound prompts, and against one that
+// leaves out a part without a proof.
+func TestReportNamesThePartsWithoutAProof(t *testing.T) {
+	s := newSet()
+	sound := longPrompt(200, 0)
+	s.Output(at(0), "svc", quarantine.TraitsOf(1, sound))
+	report := s.Crashed(at(time.Second), "svc", "s1", running(quarantine.TraitsOf(2, append(sound, "new-1", "new-2"))))[0].(*message.CrashReport)
+	must.SliceContainsAll(t, report.Suspects[0].Parts[:2], []ident.PromptPart{"new-1", "new-2"})
+	must.LessEq(t, 2+32, len(report.Suspects[0].Parts))
+}
+
 func newSet() *quarantine.Set {
 	return quarantine.NewSet(func(ident.ServiceName, quarantine.Transition) {})
 }
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -29,6 +29,9 @@
 	silenceRatio = 0.4
 	// gapSampleEvents is the number of events over which the gap of a stream is averaged.
 	gapSampleEvents = 3
+	// maxLoggedParts bounds the prompt parts in a log line. The lines about a quarantine name
+	// the others that matter.
+	maxLoggedParts = 16
 	// unusedTimeout is a duration that no request reaches, for timers that are not needed.
 	unusedTimeout = time.Hour
 )
@@ -350,8 +353,8 @@
 
 func (c *clientRequest) failAttempt(now time.Time, reason outcome.Reason, detail string) {
 	c.serverFailed = true
-	c.log("request.attempt-broken", reason, fmt.Sprintf("%s; output begun %t, server crashed %t, fingerprint %s, shared prompt parts %v",
-		detail, c.outputBegan, c.serverCrashed, c.handler.requestTags.Of(c.traits.Request), c.meta.PromptParts))
+	c.log("request.attempt-broken", reason, fmt.Sprintf("%s; output begun %t, server crashed %t, fingerprint %s, %d shared prompt parts %v",
+		detail, c.outputBegan, c.serverCrashed, c.handler.requestTags.Of(c.traits.Request), len(c.traits.Parts), c.traits.Parts[:min(len(c.traits.Parts), maxLoggedParts)]))
 	c.step(now, request.Failed{Attempt: c.currentAttempt, Reason: reason})
 }
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -47,6 +49,25 @@
 	must.Eq(t, 1, deadly)
 }
 
+// Guards against a deadly part that is let through because of its place in a long prompt or
+// the size of its id.
+func TestDeadlyPartOfALongPromptIsNotSentAgain(t *testing.T) {
+	long := "deadly-" + strings.Repeat("x", 100)
+	replicas := []*platformtest.Replica{platformtest.NewReplica(t, "i-1"), platformtest.NewReplica(t, "i-2"), platformtest.NewReplica(t, "i-3")}
+	for _, r := range replicas {
+		r.SetHandler(r.CrashOnPart(long))
+	}
+	f := newFixture(t, replicas...)
+	var parts []string
+	for n := range 60 {
+		parts = append(parts, fmt.Sprint("turn-", n))
+	}
+	must.Eq(t, http.StatusOK, f.prompt(append(parts, "last-1")...).status)
+	must.Eq(t, http.StatusBadGateway, f.prompt(append(parts, long, "last-2")...).status)
+	must.Eq(t, http.StatusServiceUnavailable, f.prompt(append(parts, long, "last-3")...).status)
+	must.Eq(t, http.StatusOK, f.prompt(append(parts, "last-4")...).status)
+}
+
 // countBody returns how many requests with the body reached one of the replicas.
 func countBody(replicas []*platformtest.Replica, body string) int {
 	n := 0
