--- a/internal/decide/quarantine/inseparable.go
+++ b/internal/decide/quarantine/inseparable.go
@@ -30,11 +30,11 @@
 	return n == len(i.parts)
 }
 
-// findInseparable returns the sets of two or more inseparable parts, and the parts whose
-// crashes such a set explains.
+// findInseparable returns the sets of two or more inseparable parts. Parts that are blamed for
+// the same crashes have one set. It also returns for which parts there is a set.
 func (q *Quarantine) findInseparable(blamed [][]Trait, history map[Trait]crashHistory) ([]*inseparable, map[Trait]bool) {
 	var sets []*inseparable
-	bySuspicion := make(map[string]bool)
+	byCrashes := make(map[string]bool)
 	members := make(map[Trait]bool)
 	for n, traits := range blamed {
 		for _, t := range traits {
@@ -42,15 +42,14 @@
 				continue
 			}
 			key := string(history[t].key())
-			isSet, known := bySuspicion[key]
-			if !known && len(sets) < maxInseparable {
+			if _, known := byCrashes[key]; !known && len(sets) < maxInseparable {
 				parts := explainingAll(traits, history, t)
-				if isSet = len(parts) > 1; isSet {
+				byCrashes[key] = len(parts) > 1
+				if len(parts) > 1 {
 					sets = append(sets, q.newInseparable(t, parts, blamed, history[t]))
 				}
-				bySuspicion[key] = isSet
 			}
-			if isSet {
+			if byCrashes[key] {
 				members[t] = true
 			}
 		}
@@ -70,7 +69,8 @@
 }
 
 func (q *Quarantine) newInseparable(first Trait, parts map[Trait]bool, blamed [][]Trait, h crashHistory) *inseparable {
-	return &inseparable{parts: parts, releaseAt: h.latest.Add(q.hold(first, q.weightOfAll(first, parts, blamed, h), h.crashes))}
+	hold := q.hold(first, q.weightOfAll(first, parts, blamed, h), h.crashes)
+	return &inseparable{parts: parts, releaseAt: h.latest.Add(hold)}
 }
 
 // weightOfAll returns the evidence against inseparable parts: that against one part in the
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -7,6 +7,12 @@
 // for a time that grows with the evidence against it. Then one request is sent as a trial:
 // an output clears the trait, another crash adds evidence. Entries tell each other of
 // crashes, proofs and trials, so that all of them learn from each.
+//
+// For any sets of traits and any loss or order of reports:
+//   - every hold ends by a trial within a bounded time while requests with the trait come, or
+//     by the crash of such a trial;
+//   - the trials that crash servers are few, over all entries together;
+//   - an output clears the traits of its request at all entries.
 package quarantine
 
 import (
@@ -101,7 +107,8 @@
 	holdTime  time.Duration
 	// ownTrial reports whether a request of this entry is the trial.
 	ownTrial bool
-	early    earlyRelease
+	// early decides whether a trial may begin before the end of the hold.
+	early earlyRelease
 	// recurrences counts how often a whole request came again, up to recurrencesToExplain.
 	recurrences int
 }
@@ -170,16 +177,24 @@
 	}
 	if !d.Send {
 		d.Unsettled = q.unsettled(now)
-		q.sightings.add(now, accused)
-		for _, t := range accused {
-			q.accused[t].early.refusals++
-		}
 		return d
 	}
 	d.Trial = traitsOf(accused)
 	return d
 }
 
+// Refused records that a request was refused because Check did not allow it.
+func (q *Quarantine) Refused(now time.Time, traits Traits) {
+	accused := q.accusedOf(traits)
+	if len(accused) == 0 {
+		return
+	}
+	q.sightings.add(now, accused)
+	for _, t := range accused {
+		q.accused[t].early.refusals++
+	}
+}
+
 func (q *Quarantine) isAccused(t Trait) bool { return q.accused[t] != nil }
 
 // accusedOf returns the traits that are accused.
@@ -275,10 +290,10 @@
 	}
 }
 
-// Name returns the suspect with the parts that a crash can be about: those without a proof,
+// reported returns the suspect with the parts that a crash can be about: those without a proof,
 // and of the others the ones that were shown to be sound last, since one of them may have
 // turned deadly.
-func (q *Quarantine) Name(s Suspect) Suspect {
+func (q *Quarantine) reported(s Suspect) Suspect {
 	type proven struct {
 		part ident.PromptPart
 		at   time.Time
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -43,8 +43,9 @@
 // BeginTrial records that this process sends a request to try the traits.
 func (s *Set) BeginTrial(now time.Time, service ident.ServiceName, traits Traits) []message.Message {
 	s.of(service).BeginTrial(now, traits)
+	all := traits.all()
 	var list []message.Message
-	for _, t := range traits.all()[:min(len(traits.all()), maxToldTrials)] {
+	for _, t := range all[:min(len(all), maxToldTrials)] {
 		list = append(list, &message.TraitTrial{Service: service, Part: t.Part, Request: t.Request})
 	}
 	return list
@@ -52,7 +53,9 @@
 
 // Refused records that a request was refused because Check did not allow it.
 func (s *Set) Refused(now time.Time, service ident.ServiceName, traits Traits) []message.Message {
-	if !s.of(service).Recurred(now, traits.Request) {
+	q := s.of(service)
+	q.Refused(now, traits)
+	if !q.Recurred(now, traits.Request) {
 		return nil
 	}
 	return []message.Message{&message.RequestRecurred{Service: service, Request: traits.Request}}
@@ -71,7 +74,7 @@
 // Crashed records that a server crashed before the first output of a request.
 func (s *Set) Crashed(now time.Time, service ident.ServiceName, server ident.ServerID, suspect Suspect) []message.Message {
 	q := s.of(service)
-	c := Crash{Server: server, At: now, Suspects: []Suspect{q.Name(suspect)}}
+	c := Crash{Server: server, At: now, Suspects: []Suspect{q.reported(suspect)}}
 	report := crashReport(now, service, c)
 	return append([]message.Message{report}, proofMessages(now, service, q.AddCrash(now, c))...)
 }
--- a/internal/decide/quarantine/sightings.go
+++ b/internal/decide/quarantine/sightings.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -66,21 +65,32 @@
 // smallerThan reports whether a request came lately whose accused traits are some of these
 // but not all. Traits that are no longer accused do not count.
 func (s *sightings) smallerThan(now time.Time, traits []Trait, isAccused func(Trait) bool) bool {
+	all := make(map[Trait]bool, len(traits))
+	for _, t := range traits {
+		all[t] = true
+	}
 	for _, one := range s.byKey {
 		if now.Sub(one.at) > sightingTime {
 			continue
 		}
-		accused := 0
-		contained := !slices.ContainsFunc(one.traits, func(t Trait) bool {
-			if !isAccused(t) {
-				return false
-			}
-			accused++
-			return !slices.Contains(traits, t)
-		})
-		if contained && accused > 0 && accused < len(traits) {
+		if n, within := countAccused(one.traits, all, isAccused); within && n > 0 && n < len(all) {
 			return true
 		}
 	}
 	return false
 }
+
+// countAccused returns how many of the traits are accused, and whether all those are in the
+// set.
+func countAccused(traits []Trait, set map[Trait]bool, isAccused func(Trait) bool) (n int, within bool) {
+	for _, t := range traits {
+		if !isAccused(t) {
+			continue
+		}
+		if !set[t] {
+			return 0, false
+		}
+		n++
+	}
+	return n, true
+}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -68,7 +68,9 @@
 		r.trial = decision.Trial
 		return request.NoServer{}, true
 	}
-	d.noteEvidence(now, d.quarantine.Refused(now, r.quarantineKey(), r.traits))
+	if !decision.Unsettled {
+		d.noteEvidence(now, d.quarantine.Refused(now, r.quarantineKey(), r.traits))
+	}
 	return request.NoServer{
 		Outcome:    outcome.DidNotRun(outcome.ReasonQuarantined, "the request may crash backend servers"),
 		RetryAfter: max(decision.Wait, 0), Final: !decision.Unsettled,
