--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -68,6 +68,31 @@
 	must.Eq(t, http.StatusOK, f.prompt(append(parts, "last-4")...).status)
 }
 
+// Guards against the refusal of all requests with new shared parts that always come together,
+// after one request that had a deadly part, too.
+func TestNewSharedPartsAreServedAfterADeadlyRequest(t *testing.T) {
+	replicas := []*platformtest.Replica{platformtest.NewReplica(t, "i-1"), platformtest.NewReplica(t, "i-2"), platformtest.NewReplica(t, "i-3")}
+	for _, r := range replicas {
+		r.SetHandler(r.CrashOnPart("deadly"))
+	}
+	f := newFixture(t, replicas...)
+	must.Eq(t, http.StatusBadGateway, f.prompt("instructions", "tools", "deadly", "last-1").status)
+	must.Eq(t, http.StatusServiceUnavailable, f.prompt("instructions", "tools", "last-2").status)
+	f.eventually("sound requests with the parts are served", func() bool {
+		return f.prompt("instructions", "tools", "last-3").status == http.StatusOK
+	})
+	must.Eq(t, http.StatusServiceUnavailable, f.prompt("instructions", "tools", "deadly", "last-4").status)
+	deadly := 0
+	for _, r := range replicas {
+		for _, one := range r.Received() {
+			if one.HasPart("deadly") {
+				deadly++
+			}
+		}
+	}
+	must.Eq(t, 1, deadly)
+}
+
 // countBody returns how many requests with the body reached one of the replicas.
 func countBody(replicas []*platformtest.Replica, body string) int {
 	n := 0
