--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -38,15 +38,7 @@
 	peer.awaitQuarantine()
 	must.Eq(t, http.StatusServiceUnavailable, peer.prompt("first", "deadly", "last-5").status)
 	must.Eq(t, http.StatusOK, peer.prompt("first", "last-6").status)
-	deadly := 0
-	for _, r := range replicas {
-		for _, one := range r.Received() {
-			if one.HasPart("deadly") {
-				deadly++
-			}
-		}
-	}
-	must.Eq(t, 1, deadly)
+	must.Eq(t, 1, countPart(replicas, "deadly"))
 }
 
 // Guards against a deadly part that is let through because of its place in a long prompt or
@@ -82,15 +74,20 @@
 		return f.prompt("instructions", "tools", "last-3").status == http.StatusOK
 	})
 	must.Eq(t, http.StatusServiceUnavailable, f.prompt("instructions", "tools", "deadly", "last-4").status)
-	deadly := 0
+	must.Eq(t, 1, countPart(replicas, "deadly"))
+}
+
+// countPart returns how many requests with the prompt part reached one of the replicas.
+func countPart(replicas []*platformtest.Replica, part string) int {
+	n := 0
 	for _, r := range replicas {
 		for _, one := range r.Received() {
-			if one.HasPart("deadly") {
-				deadly++
+			if one.HasPart(part) {
+				n++
 			}
 		}
 	}
-	must.Eq(t, 1, deadly)
+	return n
 }
 
 // countBody returns how many requests with the body reached one of the replicas.
