--- a/internal/decide/quarantine/inseparable.go
+++ b/internal/decide/quarantine/inseparable.go
@@ -8,11 +8,10 @@
 // maxInseparable bounds the sets of inseparable parts that an assessment computes.
 const maxInseparable = 256
 
-// inseparable are parts that the evidence does not tell apart: each of them may alone
-// explain all crashes for which the first one is blamed. A request with all of them has the
-// part that crashed servers for certain, and its crash would not tell which one it is. A
-// request with some of them does tell, and is the more likely to be sound, since the deadly
-// request of each of these crashes had all of them.
+// inseparable is a set of parts that the evidence does not tell apart: each of them may alone
+// explain the same crashes. A request with all of them has the part that crashed servers for
+// certain, and its crash would not tell which one it is. A request with some of them does
+// tell, and is the more likely to be sound: the deadly requests had all of them.
 type inseparable struct {
 	parts map[Trait]bool
 	// releaseAt is the end of the hold of requests with all of the parts.
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -179,7 +179,7 @@
 		d.Unsettled = q.unsettled(now)
 		return d
 	}
-	d.Trial = traitsOf(accused)
+	d.Trial = asTraits(accused)
 	return d
 }
 
--- a/internal/decide/quarantine/set.go
+++ b/internal/decide/quarantine/set.go
@@ -8,9 +8,9 @@
 	"github.com/anvilpoint/anvilpoint/internal/message"
 )
 
-// maxToldTrials bounds the traits of a trial that others are told. Requests with a trait in
+// maxTrialMessages bounds the traits of a trial that others are told of. Requests with a trait in
 // common with the trial mostly have several in common.
-const maxToldTrials = 32
+const maxTrialMessages = 32
 
 // Set holds the quarantines of all services. What it returns as messages is meant for all
 // other processes that send requests to the servers; they pass it to Handle. It is owned by
@@ -45,7 +45,7 @@
 	s.of(service).BeginTrial(now, traits)
 	all := traits.all()
 	var list []message.Message
-	for _, t := range all[:min(len(all), maxToldTrials)] {
+	for _, t := range all[:min(len(all), maxTrialMessages)] {
 		list = append(list, &message.TraitTrial{Service: service, Part: t.Part, Request: t.Request})
 	}
 	return list
--- a/internal/decide/quarantine/trait.go
+++ b/internal/decide/quarantine/trait.go
@@ -68,8 +68,8 @@
 	return ident.PromptPart(fmt.Sprintf("sha256-%x", sum[:digestBytes]))
 }
 
-// traitsOf is the inverse of Traits.all.
-func traitsOf(list []Trait) Traits {
+// asTraits returns the traits of a list. It is the inverse of Traits.all.
+func asTraits(list []Trait) Traits {
 	var t Traits
 	for _, one := range list {
 		if one.whole() {
