--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -65,8 +65,8 @@
 	deadly atomic.Bool
 	// deadlyRead reports whether the read of deadlyPath does.
 	deadlyRead atomic.Bool
-	// version is the newest published configuration.
-	version int
+	// version is the newest published configuration. Faults that end read it.
+	version atomic.Int64
 	// logs is the folder of the settings and logs of the processes.
 	logs string
 }
@@ -165,7 +165,8 @@
 
 func newCluster(t *testing.T, seed uint64, logs string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, seed: seed, recorder: newRecorder(), store: platformtest.NewStore(t), version: 1, logs: logs}
+	c := &cluster{t: t, seed: seed, recorder: newRecorder(), store: platformtest.NewStore(t), logs: logs}
+	c.version.Store(1)
 	c.storeProxy = newProxy(t, "127.0.0.1", c.store.Address())
 	var hosts []string
 	for n := range rankCount {
@@ -206,7 +207,7 @@
 // writeAgain writes what the store may have lost: the newest configuration and the entries
 // of all servers.
 func (c *cluster) writeAgain() {
-	c.publish(c.version)
+	c.publish(int(c.version.Load()))
 	for _, s := range c.servers {
 		state := "ready"
 		if s.leaving.Load() {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -185,15 +185,14 @@
 }
 
 func (i *injector) publish() {
-	i.cluster.version++
-	i.cluster.publish(i.cluster.version)
+	i.cluster.publish(int(i.cluster.version.Add(1)))
 }
 
 // publishOlder publishes an older configuration, as a store does that was restored from
 // a backup. Entries have to ignore it.
 func (i *injector) publishOlder() {
-	if i.cluster.version > 2 {
-		i.cluster.publish(i.cluster.version - 2)
+	if version := i.cluster.version.Load(); version > 2 {
+		i.cluster.publish(int(version) - 2)
 	}
 }
 
