--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -54,10 +54,10 @@
 	for n := range 60 {
 		parts = append(parts, fmt.Sprint("turn-", n))
 	}
-	must.Eq(t, http.StatusOK, f.prompt(append(parts, "last-1")...).status)
-	must.Eq(t, http.StatusBadGateway, f.prompt(append(parts, long, "last-2")...).status)
-	must.Eq(t, http.StatusServiceUnavailable, f.prompt(append(parts, long, "last-3")...).status)
-	must.Eq(t, http.StatusOK, f.prompt(append(parts, "last-4")...).status)
+	must.Eq(t, http.StatusOK, f.promptWithBody("body-1", append(parts, "last")...).status)
+	must.Eq(t, http.StatusBadGateway, f.promptWithBody("body-2", append(parts, long, "last")...).status)
+	must.Eq(t, http.StatusServiceUnavailable, f.promptWithBody("body-3", append(parts, long, "last")...).status)
+	must.Eq(t, http.StatusOK, f.promptWithBody("body-4", append(parts, "last")...).status)
 }
 
 // Guards against the refusal of all requests with new shared parts that always come together,
@@ -73,7 +73,7 @@
 	f.eventually("sound requests with the parts are served", func() bool {
 		return f.prompt("instructions", "tools", "last-3").status == http.StatusOK
 	})
-	must.Eq(t, http.StatusServiceUnavailable, f.prompt("instructions", "tools", "deadly", "last-4").status)
+	must.Eq(t, http.StatusServiceUnavailable, f.promptWithBody("another", "instructions", "tools", "deadly", "last").status)
 	must.Eq(t, 1, countPart(replicas, "deadly"))
 }
 
