clientconn, gateway: the memory of request heads is granted before it is used

What callers saw: clients that sent heads over the limit or without end, or heads of legal size made of some thousand short lines, took an entry over the memory of its instance. The platform ended it, with every request that it held.

Cause: net/http parses a head while it arrives and allows 1 MB. A parsed line takes many times its bytes, and nothing bounded the sum over clients.

Change: a connection of a client collects a head before the HTTP server gets any of it. What the parsed head takes is claimed from one task, which decides by package clientload: a request of usual size fits into an allowance of 16 KB and asks nobody; other claims wait 0.8 s at most, and a connection that makes no progress gives way to them. A head over the limit gets 431, one without memory 503 with Retry-After, and the connection is read for a moment so that no reset destroys the answer. The heap has a soft limit. New settings: limits.memory_mb and limits.max_head_bytes; the operators' maxHeaderBytes raises the latter.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -44,6 +44,9 @@
 		return errors.Wrapf(err, "%s: log_level", file)
 	}
 	logger := zerolog.New(env.err).Level(level).With().Timestamp().Str("process", string(s.Instance)).Logger()
+	if err := limitMemory(&s.Limits); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return withEvents(env, s, func(events *eventlog.Log) error {
--- a/internal/command/hosted.go
+++ b/internal/command/hosted.go
@@ -98,6 +98,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s: log_level", file)
 	}
+	if err := limitMemory(&s.Limits); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reloads := make(chan os.Signal, 1)
--- a/internal/e2etest/cluster.go
+++ b/internal/e2etest/cluster.go
@@ -216,7 +216,7 @@
 		Role: role, Instance: ident.InstanceID(name), Domain: "d", Region: "default",
 		Listen: addresses[0], LinkListen: links, Operations: addresses[2],
 		ConfigService: c.platform.URL, InstanceList: c.platform.URL, Grace: c.Grace,
-		TLS: settings.TLS{PlainText: true}, MaxBodyBytes: 1 << 20,
+		TLS: settings.TLS{PlainText: true}, MaxBodyBytes: 1 << 20, Limits: settings.DefaultLimits(),
 	}, nil
 }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -107,6 +107,8 @@
 	logger  zerolog.Logger
 	// drain starts to shut the client listener down.
 	drain func()
+	// setClientLimits puts the operators' limits on clients' requests in force.
+	setClientLimits func(ctx context.Context, l record.Limits)
 }
 
 func newControl(now time.Time, grace time.Duration) (*control, error) {
@@ -207,6 +209,7 @@
 	}
 	c.logger.Info().Uint64("version", uint64(c.routes.Version())).Str("source", c.routesSource).Msg("routes in force")
 	c.dispatch.Send(ctx, setRoutes{routes: c.routes})
+	c.setClientLimits(ctx, c.routes.Limits())
 }
 
 // checkConfigured makes the process ready once it has routes and the list of backend
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,13 +11,16 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/anvilpoint/anvilpoint/internal/clientconn"
 	"github.com/anvilpoint/anvilpoint/internal/codec"
+	"github.com/anvilpoint/anvilpoint/internal/decide/clientload"
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/decide/routing"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
@@ -26,6 +29,7 @@
 	"github.com/anvilpoint/anvilpoint/internal/message"
 	"github.com/anvilpoint/anvilpoint/internal/network"
 	"github.com/anvilpoint/anvilpoint/internal/operations"
+	"github.com/anvilpoint/anvilpoint/internal/record"
 	"github.com/anvilpoint/anvilpoint/internal/settings"
 	"github.com/anvilpoint/anvilpoint/internal/shutdown"
 	"github.com/anvilpoint/anvilpoint/internal/upstream"
@@ -42,6 +46,13 @@
 	// headerReadTimeout bounds the time in which a client sends the request headers. It
 	// is above the operators' limit, so that the operators' limit decides.
 	headerReadTimeout = 10 * time.Second
+	// bodyTimeout bounds the time between two parts of a request body, and writeTimeout the
+	// time in which a client takes a part of an answer. No request has more time.
+	bodyTimeout  = 30 * time.Second
+	writeTimeout = 30 * time.Second
+	// headMarginBytes is added to the operators' limit of a request's header fields for the
+	// request line.
+	headMarginBytes = 4 << 10
 	// clientIdleTimeout is how long an idle client connection is kept. It is above the
 	// operators' limit, so that the operators' limit decides.
 	clientIdleTimeout = 60 * time.Second
@@ -65,6 +76,7 @@
 	pool        *upstream.Pool
 	handler     *clientHandler
 	server      *http.Server
+	limiter     *clientconn.Limiter
 	links       link.Config
 	start       ident.Incarnation
 	requestTags eventlog.RequestTags
@@ -155,6 +167,11 @@
 		transport: &upstream.Transport{Pool: p.pool, Protocol: protocol, Dial: upstream.Dial, OnConnect: p.metrics.opened.Inc},
 	}
 	p.server = &http.Server{Handler: p.handler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: clientIdleTimeout}
+	clientconn.Prepare(p.server)
+	limits := p.options.Settings.Limits
+	p.limiter = clientconn.NewLimiter(clientload.Config{
+		Memory: limits.ClientBytes(), HeadBytes: limits.HeadBytes, BodyBytes: maxBodyBytes,
+	}, p.metrics.clientsEvicted.Inc)
 	return nil
 }
 
@@ -166,7 +183,7 @@
 	}
 	c.address = s.LinkListen
 	c.dispatch, c.notices, c.pool, c.logger = p.dispatch.mailbox, p.dispatch.notices, p.pool, p.options.Logger
-	c.metrics, c.drain = p.metrics, p.drain
+	c.metrics, c.drain, c.setClientLimits = p.metrics, p.drain, p.setClientLimits
 	c.dial = func(ctx context.Context, address string) {
 		dialer := &link.Dialer{Config: p.links, Address: address, Network: p.options.Network, Random: p.random(2)}
 		p.group.Go("link to "+address, func(context.Context) error { return dialer.Run(ctx) })
@@ -181,6 +198,12 @@
 	return nil
 }
 
+// setClientLimits applies the operators' limits where they allow more than the defaults.
+func (p *process) setClientLimits(ctx context.Context, l record.Limits) {
+	head := max(p.options.Settings.Limits.HeadBytes, int64(l.HeaderBytes)+headMarginBytes)
+	p.limiter.SetLimits(ctx, head, max(maxBodyBytes, l.BodyBytes))
+}
+
 // random returns a random source for one task, since a source must not be shared.
 func (p *process) random(stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(uint64(p.start)^rand.Uint64(), stream))
@@ -214,10 +237,16 @@
 func (p *process) serve(l listeners) {
 	p.group.Go("dispatch", p.dispatch.run)
 	p.group.Go("connection pool", p.pool.Run)
+	p.group.Go("client limiter", p.limiter.Run)
+	clients := &clientconn.Listener{
+		Listener: l.clients, Limiter: p.limiter,
+		Timeouts: clientconn.Timeouts{Head: headerReadTimeout, Body: bodyTimeout, Write: writeTimeout},
+		Refused:  func(status int) { p.metrics.refusedHeads.WithLabelValues(strconv.Itoa(status)).Inc() },
+	}
 	p.group.Go("clients", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = p.server.Close() })
 		defer stop()
-		if err := p.server.Serve(l.clients); !errors.Is(err, http.ErrServerClosed) {
+		if err := p.server.Serve(clients); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrapf(err, "serve clients on %s", l.clients.Addr())
 		}
 		return nil
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -55,7 +55,7 @@
 	f.settings = &settings.Hosted{
 		Role: message.RoleEntry, Instance: "entry-1", Domain: "z1", Listen: address(), ReadyListen: address(),
 		LinkListen: address(), Metrics: address(), Store: f.store.Address(), Grace: 4 * time.Second,
-		RetryRatio: 0.2, RetrySlack: 188, RetryWindow: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 188, RetryWindow: 10 * time.Second, Limits: settings.DefaultLimits(),
 	}
 	f.start()
 	return f
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -19,6 +19,10 @@
 // headerTimeout bounds how long a client may take to send the header of a request.
 const headerTimeout = 10 * time.Second
 
+// maxHeadBytes is the maximum size of the head of a request. The callers are operators, the
+// platform and other processes, whose heads are short.
+const maxHeadBytes = 16 << 10
+
 // shutdownTimeout is how long requests in progress may take to finish when a server stops.
 const shutdownTimeout = 2 * time.Second
 
@@ -63,7 +67,7 @@
 // Serve runs an HTTP server on the listener until the context ends. Requests in progress
 // then have shutdownTimeout to finish.
 func Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes}
 	stop := context.AfterFunc(ctx, func() {
 		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -38,6 +38,7 @@
 	RetrySlack  float64       `json:"retry_slack" default:"100" min:"0" doc:"Retries beyond the ratio in one window, over all entries."`
 	RetryWindow time.Duration `json:"retry_window" default:"10s" min:"1s" max:"10m" doc:"Length of the window for retries."`
 	LogLevel    string        `json:"log_level" default:"info" enum:"debug|info|warn|error" doc:"The least severe log level that is written."`
+	Limits      Limits        `json:"limits" doc:"What the process may hold."`
 }
 
 // ParseHosted reads the settings of a process on a platform and reports every fault.
--- /dev/null
+++ b/internal/settings/limits.go
@@ -0,0 +1,30 @@
+package settings
+
+import (
+	"reflect"
+
+	"github.com/anvilpoint/anvilpoint/internal/jsonc"
+)
+
+// MinMemoryMB is the least memory in megabytes with which a process works.
+const MinMemoryMB = 64
+
+// Limits bounds what a process holds.
+type Limits struct {
+	MemoryMB  int   `json:"memory_mb" default:"200" min:"64" max:"1048576" doc:"Memory of the instance in megabytes; less if the instance has less. The process keeps its heap below seven tenths of it, and what clients make an entry hold below three tenths."`
+	HeadBytes int64 `json:"max_head_bytes" default:"32768" min:"16384" max:"524288" doc:"Entry only: largest head of a request in bytes. Operators may allow larger ones in the record of routes."`
+}
+
+// DefaultLimits returns the limits of a process whose settings give none.
+func DefaultLimits() Limits {
+	var l Limits
+	jsonc.SetDefaults(reflect.ValueOf(&l).Elem(), "")
+	return l
+}
+
+// HeapBytes returns the soft limit of the heap in bytes. The rest of the instance's memory
+// is for the program, and for what is allocated while the garbage collector runs.
+func (l Limits) HeapBytes() int64 { return int64(l.MemoryMB) << 20 / 10 * 7 }
+
+// ClientBytes returns how much memory in bytes clients may claim.
+func (l Limits) ClientBytes() int64 { return int64(l.MemoryMB) << 20 / 10 * 3 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,7 @@
 	TLS             TLS           `json:"tls" doc:"How links are protected."`
 	Backend         *Backend      `json:"backend" doc:"Sidecar only: the backend server beside it."`
 	MaxBodyBytes    int64         `json:"max_body_bytes" default:"1048576" min:"1024" max:"3145728" doc:"Largest request body in bytes."`
+	Limits          Limits        `json:"limits" doc:"What the process may hold."`
 	Policy          Policy        `json:"policy" default:"shares" enum:"shares|round-robin|least-outstanding" doc:"How work is distributed. The values other than shares are baselines for comparisons: first come, first served at the sidecar, and the named choice of backend server at the entry."`
 	Peers           []string      `json:"peers" doc:"Addresses of entries that a new process asks first, beside those in the instance list."`
 }
