clientload: open connections of clients have a bound

What callers saw: connections that send nothing take the descriptors of an entry, which then cannot reach backend servers or take a request.

Cause: only time ended a connection, 10 s before a first request and 60 s between two.

Change: limits.max_client_connections, 2,000 by default, below the 2,870 descriptors of an instance. For each connection beyond it one gives way: the oldest without any request, else the one that stalls its body, else the one that is idle for longest, else the new one. A running request does not give way.

The order of giving way has tests without sockets.

--- a/internal/clientcrowd/gateway_test.go
+++ b/internal/clientcrowd/gateway_test.go
@@ -33,7 +33,7 @@
 )
 
 // gatewayLimits are the lowered limits in the settings of the gateway.
-var gatewayLimits = map[string]any{"memory_mb": maxMemoryMB}
+var gatewayLimits = map[string]any{"memory_mb": maxMemoryMB, "max_client_connections": maxConnections}
 
 // hostedEntry is a gateway between a store and three replicas.
 type hostedEntry struct {
@@ -163,6 +163,7 @@
 		{"many short lines and no body", 400, manyLines(post)},
 		{"many short lines without end of the head", 400, slowManyLines(post)},
 		{"empty lines without end", 24, emptyLines},
+		{"connections that send nothing", 1500, silent},
 		{"pipelined requests", 100, pipelined(get)},
 		{"trailers without end", 24, endlessTrailers(post)},
 		{"a chunk extension without end", 24, longExtension(post)},
--- a/internal/decide/clientload/clientload.go
+++ b/internal/decide/clientload/clientload.go
@@ -1,6 +1,6 @@
-// Package clientload bounds the memory that the clients of a process can make it hold. When
-// it is spent, the client that makes the least progress gives way, not the one that comes
-// next.
+// Package clientload bounds what the clients of a process can make it hold: open
+// connections, and memory for request heads, bodies and answers. When a limit is reached,
+// the client that makes the least progress gives way, not the one that comes next.
 //
 // A connection holds a fixed allowance without a claim (see package clientconn), so that
 // small requests never wait. All further memory is claimed before it is used.
@@ -36,6 +36,8 @@
 
 // Config holds the limits.
 type Config struct {
+	// Connections is the maximum number of open connections.
+	Connections int
 	// Memory is the maximum number of bytes that all connections together may claim.
 	Memory int64
 	// HeadBytes and BodyBytes are the maximum sizes of the head and the body of a request.
@@ -69,6 +71,8 @@
 	// used is the sum of the claimed bytes, leaving the part of it that belongs to evicted
 	// connections.
 	used, leaving int64
+	// evicted is the number of evicted connections that have not closed yet.
+	evicted int
 	// queue holds the waiting claims, oldest first.
 	queue   []*waitingClaim
 	actions []Action
@@ -140,6 +144,28 @@
 	c := &connection{id: id, progressed: now}
 	c.lifecycle = machine.New(now, c)
 	l.connections[id] = c
+	if len(l.connections)-l.evicted <= l.config.Connections {
+		return
+	}
+	if victim := l.connectionToClose(now, c); victim != nil {
+		l.evict(now, victim)
+	}
+}
+
+// connectionToClose returns the connection that gives way when there are too many: the
+// oldest that never sent a request, else the one that has sent no part of its request for
+// longest, else the one that has been idle for longest, else the newest.
+func (l *Limiter) connectionToClose(now time.Time, newest *connection) *connection {
+	if c := l.leastProgress(func(c *connection) bool { return c.lifecycle.In("new") }); c != nil && c != newest {
+		return c
+	}
+	if c := l.leastProgress(func(c *connection) bool { return c.stalled(now) }); c != nil {
+		return c
+	}
+	if c := l.leastProgress(func(c *connection) bool { return c.lifecycle.In("idle") }); c != nil {
+		return c
+	}
+	return newest
 }
 
 // leastProgress returns the connection that meets the condition and made progress least
@@ -166,6 +192,7 @@
 
 func (l *Limiter) evict(now time.Time, c *connection) {
 	c.lifecycle.Fire(now, "evicted")
+	l.evicted++
 	l.leaving += c.claimed
 	l.act(Close{Connection: c.id})
 }
@@ -285,6 +312,9 @@
 		return w.holder == c
 	})
 	l.giveBack(now, c)
+	if c.lifecycle.In("evicted") {
+		l.evicted--
+	}
 	c.lifecycle.Fire(now, "closed")
 	delete(l.connections, id)
 }
--- a/internal/decide/clientload/clientload_test.go
+++ b/internal/decide/clientload/clientload_test.go
@@ -28,9 +28,9 @@
 	closed  []clientload.ConnectionID
 }
 
-func newFixture(memory int64) *fixture {
+func newFixture(connections int, memory int64) *fixture {
 	return &fixture{
-		limiter: clientload.New(clientload.Config{Memory: memory, HeadBytes: 32 * kilobyte, BodyBytes: 4 * megabyte}),
+		limiter: clientload.New(clientload.Config{Connections: connections, Memory: memory, HeadBytes: 32 * kilobyte, BodyBytes: 4 * megabyte}),
 		now:     start, granted: make(map[clientload.ClaimID]bool), denied: make(map[clientload.ClaimID]clientload.Deny),
 	}
 }
@@ -70,9 +70,41 @@
 	return f.claims
 }
 
+// Guards against connections without a request that take the place of ordinary clients.
+func TestOldestSilentConnectionGivesWay(t *testing.T) {
+	f := newFixture(3, megabyte)
+	f.step(clientload.Opened{Connection: 1}, clientload.HeadReceived{Connection: 1, Whole: true}, clientload.RequestEnded{Connection: 1})
+	for id := clientload.ConnectionID(2); id <= 5; id++ {
+		f.now = f.now.Add(time.Millisecond)
+		f.step(clientload.Opened{Connection: id})
+	}
+	must.Eq(t, []clientload.ConnectionID{2, 3}, f.closed)
+}
+
+// Guards against an entry that takes no new client because all others keep idle connections.
+func TestLongestIdleConnectionGivesWay(t *testing.T) {
+	f := newFixture(2, megabyte)
+	for id := clientload.ConnectionID(1); id <= 2; id++ {
+		f.step(clientload.Opened{Connection: id}, clientload.HeadReceived{Connection: id, Whole: true})
+	}
+	f.step(clientload.RequestEnded{Connection: 2})
+	f.now = f.now.Add(time.Second)
+	f.step(clientload.RequestEnded{Connection: 1}, clientload.Opened{Connection: 3})
+	must.Eq(t, []clientload.ConnectionID{2}, f.closed)
+}
+
+// Guards against a request that is cut off while it runs because another client connects.
+func TestRunningRequestsDoNotGiveWay(t *testing.T) {
+	f := newFixture(1, megabyte)
+	f.step(clientload.Opened{Connection: 1}, clientload.HeadReceived{Connection: 1, Whole: true})
+	f.now = f.now.Add(time.Minute)
+	f.step(clientload.Opened{Connection: 2})
+	must.Eq(t, []clientload.ConnectionID{2}, f.closed)
+}
+
 // Guards against bodies that stop and keep the memory from the next client.
 func TestStalledBodyGivesWayToTheNextClaim(t *testing.T) {
-	f := newFixture(4 * megabyte)
+	f := newFixture(10, 4*megabyte)
 	must.True(t, f.granted[f.upload(1, 1500*kilobyte)])
 	f.now = f.now.Add(100 * time.Millisecond)
 	must.True(t, f.granted[f.upload(2, 1500*kilobyte)])
@@ -93,7 +125,7 @@
 // Guards against an answer that its client does not read and that keeps the memory, and
 // against cutting off one whose backend server is slow.
 func TestUnreadAnswerGivesWay(t *testing.T) {
-	f := newFixture(4 * megabyte)
+	f := newFixture(10, 4*megabyte)
 	for id := clientload.ConnectionID(1); id <= 2; id++ {
 		f.step(clientload.Opened{Connection: id}, clientload.HeadReceived{Connection: id, Whole: true})
 		must.True(t, f.granted[f.claim(id, 2*megabyte, clientload.ForAnswer)])
@@ -108,7 +140,7 @@
 
 // Guards against small requests that wait behind large ones.
 func TestSmallClaimsDoNotWaitBehindLargeOnes(t *testing.T) {
-	f := newFixture(4 * megabyte)
+	f := newFixture(10, 4*megabyte)
 	must.True(t, f.granted[f.upload(1, 3*megabyte)])
 	large := f.upload(2, megabyte)
 	must.False(t, f.granted[large])
@@ -120,7 +152,7 @@
 // Guards against requests that wait for memory that they can never get, and against waits
 // past the time after which clients abandon a request.
 func TestClaimsAreDeniedInTime(t *testing.T) {
-	f := newFixture(4 * megabyte)
+	f := newFixture(10, 4*megabyte)
 	must.True(t, f.denied[f.upload(1, 5*megabyte)].Never)
 	f.step(clientload.Opened{Connection: 2}, clientload.HeadReceived{Connection: 2})
 	f.claims++
@@ -145,7 +177,7 @@
 // claims without an answer or with two, in random runs. The limiter checks the limit itself.
 func TestRandomClients(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
-		f := newFixture(4 * megabyte)
+		f := newFixture(rapid.IntRange(1, 6).Draw(r, "connections"), 4*megabyte)
 		open := make(map[clientload.ConnectionID]bool)
 		for range rapid.IntRange(1, 200).Draw(r, "steps") {
 			id := clientload.ConnectionID(rapid.IntRange(1, 10).Draw(r, "connection"))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,7 +170,7 @@
 	clientconn.Prepare(p.server)
 	limits := p.options.Settings.Limits
 	p.limiter = clientconn.NewLimiter(clientload.Config{
-		Memory: limits.ClientBytes(), HeadBytes: limits.HeadBytes, BodyBytes: maxBodyBytes,
+		Connections: limits.Connections, Memory: limits.ClientBytes(), HeadBytes: limits.HeadBytes, BodyBytes: maxBodyBytes,
 	}, p.metrics.clientsEvicted.Inc)
 	return nil
 }
--- a/internal/settings/limits.go
+++ b/internal/settings/limits.go
@@ -11,8 +11,10 @@
 
 // Limits bounds what a process holds.
 type Limits struct {
-	MemoryMB  int   `json:"memory_mb" default:"200" min:"64" max:"1048576" doc:"Memory of the instance in megabytes; less if the instance has less. The process keeps its heap below seven tenths of it, and what clients make an entry hold below three tenths."`
-	HeadBytes int64 `json:"max_head_bytes" default:"32768" min:"16384" max:"524288" doc:"Entry only: largest head of a request in bytes. Operators may allow larger ones in the record of routes."`
+	MemoryMB int `json:"memory_mb" default:"200" min:"64" max:"1048576" doc:"Memory of the instance in megabytes; less if the instance has less. The process keeps its heap below seven tenths of it, and what clients make an entry hold below three tenths."`
+	// Connections and HeadBytes concern entries only.
+	Connections int   `json:"max_client_connections" default:"2000" min:"16" max:"1000000" doc:"Entry only: open connections of clients. Beyond it, one that makes no progress is closed for each new one."`
+	HeadBytes   int64 `json:"max_head_bytes" default:"32768" min:"16384" max:"524288" doc:"Entry only: largest head of a request in bytes. Operators may allow larger ones in the record of routes."`
 }
 
 // DefaultLimits returns the limits of a process whose settings give none.
