clientconn, gateway: the memory of request bodies is granted before they are read

Cause: one body had a bound, the sum of all had none, and nothing ended a body that stopped. io.ReadAll and Request.encode copied it.

Change: the memory of a body is claimed before it is read, the whole length if it is known, else in steps. Without memory the request is refused with 503 and Retry-After before its body is read, and a part of the body is read and dropped so that the client gets the answer. A body is held once and written to the backend server from there.

--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -59,9 +59,12 @@
 
 // echo answers with what the server understood of a request.
 func echo(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := clientconn.ReadBody(w, r, bodyLimit, 1)
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+		clientconn.PrepareRefusal(w)
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		clientconn.DiscardBody(w, r)
 		return
 	}
 	sum := sha256.Sum256(body)
@@ -167,6 +170,7 @@
 	address := startServer(t, true, http.HandlerFunc(echo))
 	for range 20 {
 		must.Eq(t, http.StatusRequestHeaderFieldsTooLarge, answerOf(t, address, "GET / HTTP/1.1\r\nHost: h\r\nX-Long: "+strings.Repeat("a", 200_000)))
+		must.Eq(t, http.StatusRequestEntityTooLarge, answerOf(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n"+strings.Repeat("b", 3_000_000)))
 	}
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
-	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/anvilpoint/anvilpoint/internal/call"
+	"github.com/anvilpoint/anvilpoint/internal/clientconn"
 	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
@@ -21,9 +22,10 @@
 )
 
 const (
-	// maxBodyBytes is the maximum size of a request body. The operators' limits are not
-	// above it.
+	// maxBodyBytes is the maximum size of a request body, unless the operators allow more.
 	maxBodyBytes = 4 << 20
+	// absoluteBodyBytes is the maximum size of a request body whatever the operators allow.
+	absoluteBodyBytes = 1 << 30
 	// defaultTimeout applies if neither the client nor the route gives a time limit.
 	defaultTimeout = 30 * time.Second
 )
@@ -56,12 +58,12 @@
 	default:
 	}
 	if meta.ID == "" {
-		h.refuse(w, meta, admission{status: http.StatusBadRequest, outcome: outcome.DidNotRun(outcome.ReasonMalformed, "the request has no id")})
+		h.refuseUnread(w, r, meta, admission{status: http.StatusBadRequest, outcome: outcome.DidNotRun(outcome.ReasonMalformed, "the request has no id")})
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := clientconn.ReadBody(w, r, absoluteBodyBytes, 1)
 	if err != nil {
-		h.refuse(w, meta, unreadable(err))
+		h.refuseUnread(w, r, meta, unreadable(err))
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -99,10 +101,24 @@
 
 func unreadable(err error) admission {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, clientconn.ErrTooLarge), errors.As(err, &tooLarge):
 		return admission{status: http.StatusRequestEntityTooLarge, outcome: outcome.DidNotRun(outcome.ReasonTooLarge, "")}
+	case errors.Is(err, clientconn.ErrNoMemory):
+		// Clients that are refused together should not retry together.
+		wait := minRetryAfter + rand.N(retryAfterJitter)
+		return admission{status: http.StatusServiceUnavailable, retryAfter: wait, outcome: outcome.DidNotRun(outcome.ReasonClientMemory, "")}
+	default:
+		return admission{status: http.StatusBadRequest, outcome: outcome.DidNotRun(outcome.ReasonMalformed, "the request body is incomplete")}
 	}
-	return admission{status: http.StatusBadRequest, outcome: outcome.DidNotRun(outcome.ReasonMalformed, "the request body is incomplete")}
+}
+
+// refuseUnread refuses a request whose body was not read to its end.
+func (h *clientHandler) refuseUnread(w http.ResponseWriter, r *http.Request, meta call.Meta, a admission) {
+	clientconn.PrepareRefusal(w)
+	w.Header().Set("Content-Length", "0")
+	h.refuse(w, meta, a)
+	clientconn.DiscardBody(w, r)
 }
 
 // refuse answers a request that is not sent to any backend server.
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -56,6 +56,8 @@
 	ReasonDuplicateAttempt Reason = "duplicate-attempt"
 	// ReasonServerCrashed: the backend server's process ended before the first output.
 	ReasonServerCrashed Reason = "backend-server-crashed"
+	// ReasonClientMemory: other clients hold the memory for requests.
+	ReasonClientMemory Reason = "client-memory-in-use"
 	// ReasonQuarantined: the request has something in common with one that crashed a server.
 	ReasonQuarantined Reason = "request-quarantined"
 )
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -229,17 +229,21 @@
 }
 
 func (x *exchange) write() (int, error) {
-	data := x.request.encode()
-	if len(data) <= inlineWriteBytes {
-		return x.conn.socket.Write(data)
+	head, body := x.request.encodeHead(), x.request.Body
+	if len(head)+len(body) <= inlineWriteBytes {
+		return x.conn.socket.Write(append(head, body...))
 	}
 	x.written = make(chan error, 1)
 	socket := x.conn.socket
 	x.writer.Go(func() {
-		_, err := socket.Write(data)
+		// The body is not copied, since it may be large.
+		_, err := socket.Write(head)
+		if err == nil {
+			_, err = socket.Write(body)
+		}
 		x.written <- err
 	})
-	return len(data), nil
+	return len(head) + len(body), nil
 }
 
 // fullyWritten reports whether the complete request has been written. If not, the
@@ -366,9 +370,9 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
-// encode returns the request in HTTP/1.1 format. It is not written by net/http, which
+// encodeHead returns the head of the request in HTTP/1.1 format. It is not written by net/http, which
 // would clean the target and the host; both must stay as the client sent them.
-func (r Request) encode() []byte {
+func (r Request) encodeHead() []byte {
 	var b bytes.Buffer
 	w := bufio.NewWriter(&b)
 	// Writes to memory do not fail.
@@ -378,7 +382,6 @@
 		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
-	_, _ = w.Write(r.Body)
 	_ = w.Flush()
 	return b.Bytes()
 }
