answer, upstream: one reader of answers, which refuses impossible statuses

What callers saw: a request whose server answered with status 000 waited until its time was up; an answer with a status over 599 was passed on.

Cause: net/http reads any three digits as a status. The reader took all below 200 for interim answers and had no bound above.

Change: package answer reads answers and alone decides whether one is well-formed. The status line is checked before anything is made of it: a version of HTTP/1, a status from 100 to 599. Upstream reads through it.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/anvilpoint/anvilpoint/internal/answer"
 	"github.com/anvilpoint/anvilpoint/internal/call"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/network"
@@ -23,11 +24,11 @@
 	// maxStaleAnswers is the maximum number of late answers to earlier requests that are
 	// skipped before the answer to the current one.
 	maxStaleAnswers = 2
-	// maxHeadBytes is the maximum size of the head of an answer, with interim answers.
-	maxHeadBytes = 64 << 10
 	// maxAnswerBytes is the maximum size of the body of an answer that is not a stream. An
 	// entry with 200 MB of memory holds some tens of answers at once.
 	maxAnswerBytes = 2 << 20
+	// eventBuffer is the size of a read buffer in bytes, enough for a few events of a stream.
+	eventBuffer = 4 << 10
 	// inlineWriteBytes is the maximum size of a request that is written before the answer
 	// is read. A larger request is written concurrently, since a server may answer before
 	// it has read a long body.
@@ -178,6 +179,8 @@
 	// writer is the goroutine that writes a long request; it sends the result to written.
 	writer  conc.WaitGroup
 	written chan error
+	// sent is set once the complete request is known to have been written.
+	sent bool
 }
 
 // run reports whether the connection can be reused for another request.
@@ -188,35 +191,44 @@
 			return false
 		}
 		// A server may have answered and closed before it read the complete request.
-		if x.conn.reader.Buffered() == 0 {
+		if x.conn.answers.Buffered() == 0 {
 			x.failBeforeOutput(errors.Wrapf(err, "write the request to backend server %s", x.request.Server))
 			return false
 		}
 	}
-	response, err := x.readHead()
+	x.conn.answers.SetComplete(x.endsProperly)
+	response, head, err := x.readHead()
 	if err != nil {
 		x.failBeforeOutput(err)
 		return false
 	}
-	head := x.transport.Protocol.Answer(response.StatusCode, response.Header)
 	if !head.Signed && !head.NotRun {
 		x.emit(Failed{Err: errors.Errorf("answer with status %d has no signature of a backend server", head.Status), Malformed: true})
 		return false
 	}
 	var complete bool
-	if x.request.Stream && response.StatusCode == http.StatusOK && head.Signed {
+	if x.request.Stream && response.Status == http.StatusOK && head.Signed {
 		complete = x.stream(head, response)
 	} else {
 		complete = x.body(head, response)
 	}
 	x.conn.serverIdleTimeout = head.IdleLimit
-	return complete && !response.Close && !head.Closing && x.fullyWritten() && x.conn.reader.Buffered() == 0
+	return complete && !response.Closes && !head.Closing && x.fullyWritten() && x.conn.answers.Buffered() == 0
+}
+
+// endsProperly returns nil if an answer that ends with its connection, which has ended now,
+// is whole.
+func (x *exchange) endsProperly() error {
+	if x.refusesConnections() {
+		return errors.WithMessage(io.ErrUnexpectedEOF, "the server refuses connections")
+	}
+	return nil
 }
 
 // failBeforeOutput reports a failure of an attempt that has no output, and whether the
 // server crashed.
 func (x *exchange) failBeforeOutput(err error) {
-	failed := Failed{Err: err, Malformed: errors.Is(err, errMalformed)}
+	failed := Failed{Err: err, Malformed: errors.Is(err, answer.ErrMalformed)}
 	if network.ClosedByPeer(err) {
 		failed.Crashed = x.refusesConnections()
 	}
@@ -249,89 +261,70 @@
 // fullyWritten reports whether the complete request has been written. If not, the
 // server would read the next request on the connection as the rest of this one.
 func (x *exchange) fullyWritten() bool {
-	if x.written == nil {
+	if x.written == nil || x.sent {
 		return true
 	}
 	select {
 	case err := <-x.written:
-		return err == nil
+		x.sent = err == nil
 	default:
-		return false
 	}
+	return x.sent
 }
 
-var errMalformed = errors.New("malformed or unrelated answer")
-
 // readHead reads the head of the answer to this request. It skips late answers to
 // earlier requests, which have another request id.
-func (x *exchange) readHead() (*http.Response, error) {
+func (x *exchange) readHead() (*answer.Answer, call.Head, error) {
 	for range maxStaleAnswers + 1 {
-		response, err := x.readResponse()
+		response, err := x.conn.answers.Next(x.request.Method)
 		if err != nil {
-			return nil, err
+			return nil, call.Head{}, errors.Wrapf(err, "read the answer of backend server %s", x.request.Server)
 		}
-		head := x.transport.Protocol.Answer(response.StatusCode, response.Header)
+		head := x.transport.Protocol.Answer(response.Status, response.Header)
 		if head.RequestID == x.request.ID {
-			return response, nil
+			return response, head, nil
 		}
 		if head.RequestID == "" {
-			return nil, errors.WithMessage(errMalformed, "answer without a request id")
+			return nil, call.Head{}, errors.WithMessage(answer.ErrMalformed, "answer without a request id")
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes)); err != nil {
-			return nil, errors.WithMessage(errMalformed, "connection failed within a late answer to an earlier request")
+		if _, err := io.Copy(io.Discard, io.LimitReader(response, maxAnswerBytes)); err != nil {
+			return nil, call.Head{}, errors.WithMessage(answer.ErrMalformed, "connection failed within a late answer to an earlier request")
 		}
-		if response.Close {
-			return nil, errors.WithMessage(errMalformed, "connection closed after a late answer to an earlier request")
-		}
-	}
-	return nil, errors.WithMessagef(errMalformed, "%d answers with other request ids", maxStaleAnswers+1)
-}
-
-func (x *exchange) readResponse() (*http.Response, error) {
-	request := &http.Request{Method: x.request.Method}
-	x.conn.source.limit(maxHeadBytes)
-	defer x.conn.source.unlimit()
-	for {
-		if _, err := x.conn.reader.Peek(1); err != nil {
-			return nil, errors.Wrapf(err, "read the answer of backend server %s", x.request.Server)
-		}
-		response, err := http.ReadResponse(x.conn.reader, request)
-		if err != nil {
-			return nil, errors.WithMessage(errMalformed, err.Error())
-		}
-		if response.StatusCode >= 200 {
-			return response, nil
+		if response.Closes {
+			return nil, call.Head{}, errors.WithMessage(answer.ErrMalformed, "connection closed after a late answer to an earlier request")
 		}
 	}
+	return nil, call.Head{}, errors.WithMessagef(answer.ErrMalformed, "%d answers with other request ids", maxStaleAnswers+1)
 }
 
 // body reads an answer that is not a stream. It reports whether it is complete.
-func (x *exchange) body(head call.Head, response *http.Response) bool {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && endsWithConnection(response) && x.refusesConnections() {
-		err = io.ErrUnexpectedEOF
+func (x *exchange) body(head call.Head, response *answer.Answer) bool {
+	body, err := io.ReadAll(io.LimitReader(response, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
 	}
-	switch {
-	case err != nil:
-		x.emit(Failed{Err: errors.Wrapf(err, "read the answer of backend server %s", x.request.Server)})
-		return false
-	case len(body) > maxAnswerBytes:
-		x.emit(Failed{Err: errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)})
+	if err != nil {
+		x.emit(x.failed(err))
 		return false
 	}
 	x.emit(AnswerReceived{Head: head, Header: response.Header, Body: body})
 	return true
 }
 
+// failed returns the event for an answer that cannot be read to its end.
+func (x *exchange) failed(err error) Failed {
+	return Failed{Err: errors.Wrapf(err, "read the answer of backend server %s", x.request.Server), Malformed: errors.Is(err, answer.ErrMalformed)}
+}
+
 // stream emits the events of a stream as each is complete. It reports whether the
 // stream is complete.
-func (x *exchange) stream(head call.Head, response *http.Response) bool {
+func (x *exchange) stream(head call.Head, response *answer.Answer) bool {
 	x.emit(StreamStarted{Head: head, Header: response.Header})
 	var s eventSplitter
 	outputBegan := false
-	buffer := make([]byte, readBuffer)
+	buffer := make([]byte, eventBuffer)
 	for {
-		n, err := response.Body.Read(buffer)
+		n, err := response.Read(buffer)
 		if events := s.add(buffer[:n]); len(events) > 0 {
 			outputBegan = true
 			x.emit(EventsReceived{Events: events})
@@ -343,15 +336,14 @@
 		if err == nil {
 			continue
 		}
-		if err == io.EOF && endsWithConnection(response) && (!outputBegan || x.refusesConnections()) {
+		if err == io.EOF && response.EndsWithConnection() && !outputBegan {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != io.EOF {
-			err = errors.Wrapf(err, "read the stream of backend server %s", x.request.Server)
 			if outputBegan {
-				x.emit(Failed{Err: err})
+				x.emit(x.failed(err))
 			} else {
-				x.failBeforeOutput(err)
+				x.failBeforeOutput(errors.Wrapf(err, "read the stream of backend server %s", x.request.Server))
 			}
 			return false
 		}
@@ -364,12 +356,6 @@
 	}
 }
 
-// endsWithConnection reports whether only the end of the connection marks the end of the
-// answer, so that an answer that was broken off may look complete.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // encodeHead returns the head of the request in HTTP/1.1 format. It is not written by net/http, which
 // would clean the target and the host; both must stay as the client sent them.
 func (r Request) encodeHead() []byte {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/anvilpoint/anvilpoint/internal/answer"
 )
 
 // NewHTTPClient returns an HTTP client for reads that may be retried, such as those
@@ -27,7 +29,7 @@
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
 
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: answer.MaxHeadBytes,
 		DisableCompression:     true,
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,15 +4,13 @@
 package upstream
 
 import (
-	"bufio"
 	"net"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/anvilpoint/anvilpoint/chart"
+	"github.com/anvilpoint/anvilpoint/internal/answer"
 	"github.com/anvilpoint/anvilpoint/internal/charts"
+	"github.com/anvilpoint/anvilpoint/internal/network"
 )
 
 const (
@@ -22,16 +20,12 @@
 	// idleMargin is how long before the server's idle timeout a connection is closed, so
 	// that no request is in transit when the server closes it.
 	idleMargin = 700 * time.Millisecond
-	// readBuffer is the size of a read buffer in bytes, enough for a few events of a stream.
-	readBuffer = 4 << 10
 )
 
 // conn is one connection to a backend server.
 type conn struct {
-	socket net.Conn
-	// source reads from the socket, reader from source.
-	source    *boundedReader
-	reader    *bufio.Reader
+	socket    net.Conn
+	answers   *answer.Reader
 	lifecycle *chart.Lifecycle[*conn]
 	// serverIdleTimeout is the idle timeout that the server announced, zero for none.
 	serverIdleTimeout time.Duration
@@ -45,8 +39,7 @@
 })
 
 func newConn(now time.Time, socket net.Conn) *conn {
-	source := &boundedReader{source: socket}
-	c := &conn{socket: socket, source: source, reader: bufio.NewReaderSize(source, readBuffer)}
+	c := &conn{socket: socket, answers: answer.NewReader(socket, nil)}
 	c.lifecycle = connectionMachine.New(now, c)
 	return c
 }
@@ -61,25 +54,7 @@
 // noPendingInput reports whether an idle connection has neither unread bytes, which
 // belong to no request, nor been closed by the server.
 func (c *conn) noPendingInput() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.socket.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	none := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peek := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		none = errors.Is(peek, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && none
+	return c.answers.Buffered() == 0 && !network.HasPendingInput(c.socket)
 }
 
 func (c *conn) close(now time.Time) {
