upstream: an answer cut off during an upload is not complete

What callers saw (MIXED, on the users' machines): a replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection. The client got that part as a complete answer.

Cause: the kernel reports a reset once. The goroutine that writes the request took it, so the one that reads the answer saw an end of input, which marks the end of an answer without a length.

Change: such an answer is whole only if, at its end, the whole request has been written, the connection is not in the state of a reset, and the server accepts connections, as before. A server that closes with unread bytes resets the connection, so no whole answer is refused by the first check.

Evidence: TestAnswerCutOffDuringAnUploadIsIncomplete, answers and streams, cut off by a reset, a close and an early end: all six cases fail on the code before and pass now, 10 runs each. TestAnswerWithoutLengthAfterAnUploadIs Complete passes before and after.

--- a/internal/network/state.go
+++ b/internal/network/state.go
@@ -5,8 +5,25 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
+// tcpClose is the state of a TCP connection that is closed in both directions. After the
+// other side has ended its direction properly the state is another one.
+const tcpClose = 7
+
+// WasReset reports whether the other side has reset a connection whose input has ended. The
+// kernel reports a reset once: if a write gets the error, the reader sees an ordinary end of
+// its input. It returns false if the connection does not tell.
+func WasReset(connection net.Conn) bool {
+	reset := false
+	controlSocket(connection, func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpClose
+	})
+	return reset
+}
+
 // HasPendingInput reports whether an idle connection has unread bytes, or whether the other
 // side has closed it. It returns false if the connection does not tell.
 func HasPendingInput(connection net.Conn) bool {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -217,12 +217,18 @@
 }
 
 // endsProperly returns nil if an answer that ends with its connection, which has ended now,
-// is whole.
+// is whole. A server that closes before it has read the request resets the connection.
 func (x *exchange) endsProperly() error {
-	if x.refusesConnections() {
+	switch {
+	case !x.fullyWritten():
+		return errors.WithMessage(io.ErrUnexpectedEOF, "the connection ended before the request was written")
+	case network.WasReset(x.conn.socket):
+		return errors.WithMessage(io.ErrUnexpectedEOF, "the connection was reset")
+	case x.refusesConnections():
 		return errors.WithMessage(io.ErrUnexpectedEOF, "the server refuses connections")
+	default:
+		return nil
 	}
-	return nil
 }
 
 // failBeforeOutput reports a failure of an attempt that has no output, and whether the
