upstream, gateway: the memory of answers is granted before it is used

What callers saw: clients that ask for large answers or streams and do not read them take an entry over the memory of its instance.

Cause: an answer and a stream had bounds, the sum over all clients had none, and a write to a client had no time limit.

Change: an answer, and an event of more than 4 KB with its copies, is claimed from the task that grants the memory of requests. A denied attempt ends without blame for its server. Four batches of events wait for a client in place of 16.

--- a/internal/clientcrowd/gateway_test.go
+++ b/internal/clientcrowd/gateway_test.go
@@ -169,6 +169,8 @@
 		{"whole bodies", 48, wholeBodies(post, bodyBytes)},
 		{"whole bodies for repeatable calls", 48, wholeBodies(hostedTarget(http.MethodPost, "/safe/a"), bodyBytes)},
 		{"connections that send nothing", 1500, silent},
+		{"answers that are not read", 200, unreadAnswer(hostedTarget(http.MethodGet, "/safe/large"))},
+		{"streams that are not read", 200, unreadAnswer(hostedTarget(http.MethodGet, "/streaming/events"))},
 		{"pipelined requests", 100, pipelined(get)},
 		{"trailers without end", 24, endlessTrailers(post)},
 		{"a chunk extension without end", 24, longExtension(post)},
--- a/internal/gateway/clientrequest.go
+++ b/internal/gateway/clientrequest.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/anvilpoint/anvilpoint/internal/call"
+	"github.com/anvilpoint/anvilpoint/internal/clientconn"
 	"github.com/anvilpoint/anvilpoint/internal/decide/registry"
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
@@ -23,7 +24,7 @@
 const (
 	// eventCapacity is the number of events of an attempt that are buffered for the
 	// client. If a client does not read, backpressure reaches the backend server.
-	eventCapacity = 16
+	eventCapacity = 4
 	// silenceRatio is the share of a repeatable call's time left after which an attempt
 	// without an answer is abandoned and retried at another server.
 	silenceRatio = 0.4
@@ -244,7 +245,7 @@
 		Target: c.request.RequestURI, Host: c.request.Host, Header: c.handler.protocol.Forward(c.request.Header, c.forwardHeaders(left)),
 		Body: c.body, HasBody: len(c.body) > 0 || c.request.ContentLength >= 0 && c.request.Header.Get("Content-Length") != "",
 		Stream: c.route.Kind == record.Streaming, AtMostOnce: !c.route.Repeats(),
-		MaySend: c.maySend(),
+		MaySend: c.maySend(), Reserve: clientconn.ClaimAnswer,
 	}
 	number, events := c.currentAttempt, c.events
 	c.attempts.Go(func() {
@@ -318,6 +319,11 @@
 		if e.Crashed {
 			c.crashes++
 		}
+		if e.NoMemory {
+			c.log("request.attempt-dropped", outcome.ReasonClientMemory, e.Err.Error())
+			c.step(now, request.Failed{Attempt: c.currentAttempt, Reason: outcome.ReasonClientMemory})
+			return
+		}
 		c.failAttempt(now, outcome.ReasonServerFailed, e.Err.Error())
 	}
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -27,8 +27,13 @@
 	// maxAnswerBytes is the maximum size of the body of an answer that is not a stream. An
 	// entry with 200 MB of memory holds some tens of answers at once.
 	maxAnswerBytes = 2 << 20
+	// firstAnswerBytes is the size of the first buffer for an answer without a length.
+	firstAnswerBytes = 4 << 10
 	// eventBuffer is the size of a read buffer in bytes, enough for a few events of a stream.
 	eventBuffer = 4 << 10
+	// eventCopies is how often an event may be held at once: where it is put together, on
+	// its way to the client's request, and where it is written.
+	eventCopies = 8
 	// inlineWriteBytes is the maximum size of a request that is written before the answer
 	// is read. A larger request is written concurrently, since a server may answer before
 	// it has read a long body.
@@ -73,6 +78,8 @@
 	Err error
 	// Malformed is set if the bytes received are not a valid answer to this request.
 	Malformed bool
+	// NoMemory is set if this process cannot hold the answer.
+	NoMemory bool
 	// Crashed is set if the server closed the connection before any output and then
 	// refused a new one. Finding out costs one connection.
 	Crashed bool
@@ -106,6 +113,9 @@
 	// MaySend is asked before the request is written if opening the connection took long. If
 	// it returns false, the request is not sent. Nil means that it may always be sent.
 	MaySend func(ctx context.Context) bool
+	// Reserve waits until this process may hold further bytes of the answer, and returns an
+	// error if it may not. Nil means that it always may.
+	Reserve func(ctx context.Context, bytes int64) error
 }
 
 // Transport calls backend servers.
@@ -181,6 +191,8 @@
 	written chan error
 	// sent is set once the complete request is known to have been written.
 	sent bool
+	// eventBytes is the size of the largest event for which memory is reserved.
+	eventBytes int
 }
 
 // run reports whether the connection can be reused for another request.
@@ -234,7 +246,8 @@
 // failBeforeOutput reports a failure of an attempt that has no output, and whether the
 // server crashed.
 func (x *exchange) failBeforeOutput(err error) {
-	failed := Failed{Err: err, Malformed: errors.Is(err, answer.ErrMalformed)}
+	var noMemory errNoMemory
+	failed := Failed{Err: err, Malformed: errors.Is(err, answer.ErrMalformed), NoMemory: errors.As(err, &noMemory)}
 	if network.ClosedByPeer(err) {
 		failed.Crashed = x.refusesConnections()
 	}
@@ -303,12 +316,29 @@
 	return nil, call.Head{}, errors.WithMessagef(answer.ErrMalformed, "%d answers with other request ids", maxStaleAnswers+1)
 }
 
+// reserve waits until the process may hold further bytes of the answer.
+func (x *exchange) reserve(bytes int64) error {
+	if x.request.Reserve == nil {
+		return nil
+	}
+	if err := x.request.Reserve(x.ctx, bytes); err != nil {
+		return errNoMemory{cause: err}
+	}
+	return nil
+}
+
+// errNoMemory means that this process cannot hold the answer.
+type errNoMemory struct{ cause error }
+
+// Error implements error.
+func (e errNoMemory) Error() string { return "hold the answer: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e errNoMemory) Unwrap() error { return e.cause }
+
 // body reads an answer that is not a stream. It reports whether it is complete.
 func (x *exchange) body(head call.Head, response *answer.Answer) bool {
-	body, err := io.ReadAll(io.LimitReader(response, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
-	}
+	body, err := x.readAll(response)
 	if err != nil {
 		x.emit(x.failed(err))
 		return false
@@ -319,7 +349,43 @@
 
 // failed returns the event for an answer that cannot be read to its end.
 func (x *exchange) failed(err error) Failed {
-	return Failed{Err: errors.Wrapf(err, "read the answer of backend server %s", x.request.Server), Malformed: errors.Is(err, answer.ErrMalformed)}
+	var noMemory errNoMemory
+	return Failed{
+		Err:       errors.Wrapf(err, "read the answer of backend server %s", x.request.Server),
+		Malformed: errors.Is(err, answer.ErrMalformed), NoMemory: errors.As(err, &noMemory),
+	}
+}
+
+// readAll reads the body of an answer. The memory is reserved before it is used.
+func (x *exchange) readAll(response *answer.Answer) ([]byte, error) {
+	size := response.Length
+	if size < 0 {
+		size = firstAnswerBytes
+	}
+	var body []byte
+	for {
+		if size > maxAnswerBytes {
+			return nil, errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+		}
+		if err := x.reserve(size); err != nil {
+			return nil, err
+		}
+		// One byte more shows whether a body of unknown length ends here.
+		grown := make([]byte, len(body), size+1)
+		copy(grown, body)
+		body = grown
+		for len(body) < cap(body) {
+			n, err := response.Read(body[len(body):cap(body)])
+			body = body[:len(body)+n]
+			if err == io.EOF {
+				return body, nil
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+		size = max(2*size, firstAnswerBytes)
+	}
 }
 
 // stream emits the events of a stream as each is complete. It reports whether the
@@ -339,6 +405,9 @@
 			x.emit(Failed{Err: errors.Errorf("stream has an event of more than %d bytes", maxEventBytes), Malformed: true})
 			return false
 		}
+		if err == nil {
+			err = x.reserveEvent(len(s.buffer))
+		}
 		if err == nil {
 			continue
 		}
@@ -362,6 +431,17 @@
 	}
 }
 
+// reserveEvent reserves memory for an incomplete event of the size, with its copies on the
+// way to the client.
+func (x *exchange) reserveEvent(size int) error {
+	for x.eventBytes = max(x.eventBytes, eventBuffer); size > x.eventBytes; x.eventBytes *= 2 {
+		if err := x.reserve(eventCopies * int64(x.eventBytes)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // encodeHead returns the head of the request in HTTP/1.1 format. It is not written by net/http, which
 // would clean the target and the host; both must stay as the client sent them.
 func (r Request) encodeHead() []byte {
