entry: the clients of the own interface are bounded by the same packages

What callers saw: the crowds that end the entry of the platform end that of the product's own interface, too.

Cause: the same; heads, bodies and connections had no bound in their sum.

Change: its listener for clients is a clientconn.Listener with a limiter and the settings `limits`. A body counts four times: as read, in decoded parts, in an encoded message, and in the queue of a link. A refusal before the body was read has a length, so that clients know where it ends. An idle connection ends after two minutes. The metrics of refusals are clientconn's, in one copy for both front ends.

--- a/internal/clientconn/clientconn.go
+++ b/internal/clientconn/clientconn.go
@@ -24,10 +24,7 @@
 	net.Listener
 	Limiter  *Limiter
 	Timeouts Timeouts
-	// Refused is called with the status of each request that is refused before the server
-	// gets it. It may be nil.
-	Refused func(status int)
-	last    clientload.ConnectionID
+	last     clientload.ConnectionID
 }
 
 // Accept implements net.Listener. The HTTP server calls it from one goroutine.
@@ -37,7 +34,7 @@
 		return nil, err
 	}
 	l.last++
-	c := &Conn{Conn: socket, id: l.last, limiter: l.Limiter, timeouts: l.Timeouts, refused: l.Refused}
+	c := &Conn{Conn: socket, id: l.last, limiter: l.Limiter, timeouts: l.Timeouts}
 	l.Limiter.open(c.id, socket)
 	return c, nil
 }
--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
@@ -37,7 +38,7 @@
 	group := task.NewGroup(context.Background())
 	address := listener.Addr().String()
 	if limited {
-		limiter := clientconn.NewLimiter(clientload.Config{Connections: 20, Memory: 8 << 20, HeadBytes: headLimit, BodyBytes: bodyLimit}, nil)
+		limiter := clientconn.NewLimiter(clientload.Config{Connections: 20, Memory: 8 << 20, HeadBytes: headLimit, BodyBytes: bodyLimit}, clientconn.NewMetrics(prometheus.NewRegistry()))
 		group.Go("limiter", limiter.Run)
 		clientconn.Prepare(server)
 		listener = &clientconn.Listener{
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -72,7 +72,6 @@
 	id       clientload.ConnectionID
 	limiter  *Limiter
 	timeouts Timeouts
-	refused  func(status int)
 	stage    stage
 	// in holds bytes of the next request. The server has been given the first handed ones,
 	// the first scanned ones do not hold the end of a head, and the first head ones are the
@@ -361,9 +360,7 @@
 	if errors.Is(reason, ErrNoMemory) {
 		status, retry = http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %d\r\n", retryAfterSeconds())
 	}
-	if c.refused != nil {
-		c.refused(status)
-	}
+	c.limiter.metrics.countRefusal(status)
 	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Length: 0\r\n\r\n", status, http.StatusText(status), retry)
 	if _, err := c.Write([]byte(answer)); err != nil {
 		return err
--- a/internal/clientconn/limiter.go
+++ b/internal/clientconn/limiter.go
@@ -64,16 +64,14 @@
 	sockets map[clientload.ConnectionID]net.Conn
 	claims  map[clientload.ClaimID]chan<- error
 	last    clientload.ClaimID
-	// evicted is called when a connection gives way to others.
-	evicted func()
+	metrics *Metrics
 }
 
-// NewLimiter returns a limiter that is not running yet. Evicted is called, by its task, when
-// a connection gives way to others.
-func NewLimiter(c clientload.Config, evicted func()) *Limiter {
+// NewLimiter returns a limiter that is not running yet.
+func NewLimiter(c clientload.Config, m *Metrics) *Limiter {
 	return &Limiter{
 		mailbox: task.NewMailbox[limiterMessage](limiterCapacity, task.Block),
-		load:    clientload.New(c), evicted: evicted,
+		load:    clientload.New(c), metrics: m,
 		sockets: make(map[clientload.ConnectionID]net.Conn), claims: make(map[clientload.ClaimID]chan<- error),
 	}
 }
@@ -149,9 +147,7 @@
 func (l *Limiter) evict(id clientload.ConnectionID) {
 	// The connection is not used any more, so an error from Close does not matter.
 	_ = l.sockets[id].Close()
-	if l.evicted != nil {
-		l.evicted()
-	}
+	l.metrics.evicted.Inc()
 }
 
 // Usage returns what the clients hold. It returns false if the task has ended.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,9 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/anvilpoint/anvilpoint/internal/clientconn"
 	"github.com/anvilpoint/anvilpoint/internal/codec"
+	"github.com/anvilpoint/anvilpoint/internal/decide/clientload"
 	"github.com/anvilpoint/anvilpoint/internal/decide/quarantine"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
@@ -29,9 +31,18 @@
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
-// responseLinger is how long handlers may go on writing answers after the last
-// request has ended.
-const responseLinger = 300 * time.Millisecond
+const (
+	// responseLinger is how long handlers may go on writing answers after the last
+	// request has ended.
+	responseLinger = 300 * time.Millisecond
+	// headTimeout bounds the time in which a client sends the head of a request, and
+	// clientIdleTimeout the time between two requests.
+	headTimeout       = 10 * time.Second
+	clientIdleTimeout = 2 * time.Minute
+	// partTimeout bounds the time between two parts of a request body, and the time in
+	// which a client takes a part of an answer.
+	partTimeout = 30 * time.Second
+)
 
 // Options configures an entry.
 type Options struct {
@@ -232,7 +243,7 @@
 	clients := &clientAPI{dispatch: p.dispatch.mailbox, control: p.control.mailbox, bookings: p.bookings.mailbox, maxBody: s.MaxBodyBytes, metrics: p.metrics, events: p.options.Events}
 	p.group.Go("dispatch", p.dispatch.run)
 	p.group.Go("bookings", p.bookings.run)
-	p.serveOn("client listener", l.clients, func(context.Context) http.Handler { return clients.handler() })
+	p.serveClients(l.clients, clients.handler())
 	p.serveOn("link listener", link.Listener(l.links, p.certificates), func(ctx context.Context) http.Handler {
 		return link.Accept(ctx, p.config)
 	})
@@ -245,6 +256,22 @@
 	return nil
 }
 
+// serveClients serves the requests of clients, and bounds what clients make the process
+// hold.
+func (p *process) serveClients(l net.Listener, handler http.Handler) {
+	s := p.options.Settings
+	limiter := clientconn.NewLimiter(clientload.Config{
+		Connections: s.Limits.Connections, Memory: s.Limits.ClientBytes(), HeadBytes: s.Limits.HeadBytes, BodyBytes: s.MaxBodyBytes,
+	}, p.metrics.clients)
+	listener := &clientconn.Listener{
+		Listener: l, Limiter: limiter, Timeouts: clientconn.Timeouts{Head: headTimeout, Body: partTimeout, Write: partTimeout},
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headTimeout, IdleTimeout: clientIdleTimeout}
+	clientconn.Prepare(server)
+	p.group.Go("client limiter", limiter.Run)
+	p.group.Go("client listener", func(ctx context.Context) error { return operations.RunServer(ctx, listener, server) })
+}
+
 func (p *process) serveOn(name string, l net.Listener, handler func(ctx context.Context) http.Handler) {
 	p.group.Go(name, func(ctx context.Context) error { return operations.Serve(ctx, l, handler(ctx)) })
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,6 +1,10 @@
 package entry
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/anvilpoint/anvilpoint/internal/clientconn"
+)
 
 // metrics are the Prometheus metrics of an entry.
 type metrics struct {
@@ -13,6 +17,7 @@
 	// quarantined counts the requests whose repeats are kept from the servers.
 	quarantined prometheus.Gauge
 	links       *prometheus.CounterVec
+	clients     *clientconn.Metrics
 }
 
 func newMetrics() *metrics {
@@ -40,6 +45,7 @@
 			Name: "anvilpoint_link_closed_total", Help: "Links that ended, by reason.",
 		}, []string{"reason"}),
 	}
+	m.clients = clientconn.NewMetrics(m.registry)
 	m.registry.MustRegister(m.requests, m.chunks, m.stray, m.broken, m.crashes, m.quarantined, m.links)
 	return m
 }
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -98,7 +98,12 @@
 		seconds := max(int64((retryAfter+time.Second-1)/time.Second), 1)
 		h.Set(headerRetryAfter, strconv.FormatInt(seconds, 10))
 	}
+	document, err := json.Marshal(p)
+	if err != nil {
+		document = []byte("{}")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(document)))
 	w.WriteHeader(p.Status)
 	// The client may have gone away; there is nobody left to tell.
-	_ = json.NewEncoder(w).Encode(p)
+	_, _ = w.Write(document)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -10,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
 
+	"github.com/anvilpoint/anvilpoint/internal/clientconn"
 	"github.com/anvilpoint/anvilpoint/internal/eventlog"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
@@ -17,8 +17,13 @@
 	"github.com/anvilpoint/anvilpoint/task"
 )
 
-// defaultDeadline is the deadline of a priority class for which the record has none.
-const defaultDeadline = 30 * time.Second
+const (
+	// defaultDeadline is the deadline of a priority class for which the record has none.
+	defaultDeadline = 30 * time.Second
+	// bodyCopies is how often a request body is held at once: as read, in parts that were
+	// decoded, in an encoded message, and in the queue of a link.
+	bodyCopies = 4
+)
 
 // clientAPI answers clients over HTTP. Its methods run in the HTTP server's
 // goroutines and communicate with the tasks by messages.
@@ -93,19 +98,24 @@
 	return d, account, true
 }
 
-// readBody reads the request body. If the body is too large or incomplete, it
-// answers the request itself and returns false.
+// readBody reads the request body. If the body is too large or incomplete, or if there is
+// no memory for it, it answers the request itself and returns false.
 func (s *clientAPI) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBody))
+	body, err := clientconn.ReadBody(w, r, s.maxBody, bodyCopies)
 	if err == nil {
 		return body, true
 	}
+	clientconn.PrepareRefusal(w)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge), errors.Is(err, clientconn.ErrTooLarge):
 		s.reject(w, outcome.ReasonTooLarge, "the request body is too large")
-		return nil, false
+	case errors.Is(err, clientconn.ErrNoMemory):
+		s.reject(w, outcome.ReasonClientMemory, "other clients hold the memory for requests")
+	default:
+		s.reject(w, outcome.ReasonMalformed, "the request body broke off")
 	}
-	s.reject(w, outcome.ReasonMalformed, "the request body broke off")
+	clientconn.DiscardBody(w, r)
 	return nil, false
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -171,7 +170,7 @@
 	limits := p.options.Settings.Limits
 	p.limiter = clientconn.NewLimiter(clientload.Config{
 		Connections: limits.Connections, Memory: limits.ClientBytes(), HeadBytes: limits.HeadBytes, BodyBytes: maxBodyBytes,
-	}, p.metrics.clientsEvicted.Inc)
+	}, p.metrics.clients)
 	return nil
 }
 
@@ -241,7 +240,6 @@
 	clients := &clientconn.Listener{
 		Listener: l.clients, Limiter: p.limiter,
 		Timeouts: clientconn.Timeouts{Head: headerReadTimeout, Body: bodyTimeout, Write: writeTimeout},
-		Refused:  func(status int) { p.metrics.refusedHeads.WithLabelValues(strconv.Itoa(status)).Inc() },
 	}
 	p.group.Go("clients", func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = p.server.Close() })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/anvilpoint/anvilpoint/internal/clientconn"
+)
 
 // metrics are the counters and histograms of an entry.
 type metrics struct {
@@ -23,10 +27,7 @@
 	servers *prometheus.GaugeVec
 	// storeRestores counts the restores of the store, once for each watch.
 	storeRestores prometheus.Counter
-	// refusedHeads counts requests that were refused before they were parsed, by status.
-	refusedHeads *prometheus.CounterVec
-	// clientsEvicted counts connections of clients that gave way to others.
-	clientsEvicted prometheus.Counter
+	clients       *clientconn.Metrics
 }
 
 func newMetrics() *metrics {
@@ -60,11 +61,8 @@
 			Name: "anvilpoint_backend_servers", Help: "Backend servers that are known, by state."}, []string{"state"}),
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "anvilpoint_store_restores_total", Help: "Restores of the platform's store from a copy, as each watch noticed them."}),
-		refusedHeads: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "anvilpoint_refused_heads_total", Help: "Requests that were refused before they were parsed, by status."}, []string{"status"}),
-		clientsEvicted: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "anvilpoint_clients_evicted_total", Help: "Connections of clients that were closed to make room for others."}),
 	}
-	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined, m.quarantinedRequests, m.rateLimited, m.servers, m.storeRestores, m.refusedHeads, m.clientsEvicted)
+	m.clients = clientconn.NewMetrics(m.registry)
+	m.registry.MustRegister(m.arrived, m.ended, m.broken, m.opened, m.firstOutput, m.duration, m.storeReads, m.links, m.version, m.crashes, m.quarantined, m.quarantinedRequests, m.rateLimited, m.servers, m.storeRestores)
 	return m
 }
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -67,7 +67,11 @@
 // Serve runs an HTTP server on the listener until the context ends. Requests in progress
 // then have shutdownTimeout to finish.
 func Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes}
+	return RunServer(ctx, l, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes})
+}
+
+// RunServer is Serve for a server with timeouts and limits of its own.
+func RunServer(ctx context.Context, l net.Listener, server *http.Server) error {
 	stop := context.AfterFunc(ctx, func() {
 		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
