entry: answers that clients do not take have a bound in their sum

What callers saw: clients that call a service and do not read its answer take an entry of the product's own interface over the memory of its instance.

Cause: credit bounds a stream, and a length the answer of a service; the sum over all clients had no bound, neither on the way to the handlers nor in what they write.

Change: the dispatch task counts the pieces that handlers have not taken or that are collected. Over half of the memory for clients, the answer of the client that has taken nothing for longest is dropped and its connection closed. A handler claims what it writes, without waiting, since it holds it already.

--- a/internal/clientcrowd/entry_test.go
+++ b/internal/clientcrowd/entry_test.go
@@ -1,11 +1,15 @@
 package clientcrowd_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,22 +32,26 @@
 func startEntry(t *testing.T) *ownEntry {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		_, _ = io.WriteString(w, "done")
-	}))
+	t.Cleanup(cancel)
+	service := httptest.NewServer(http.HandlerFunc(serveCall))
 	t.Cleanup(service.Close)
-	backend := e2etest.Backend{Server: "logbook-0", Kind: "service", URL: service.URL}
-	cluster, addresses, err := e2etest.NewCluster(ctx, e2etest.Config{Backends: []e2etest.Backend{backend}, Logger: zerolog.Nop()})
+	// A stream is larger than the credit of its reader.
+	engine := e2etest.NewEngine(e2etest.Behavior{Tokens: 400, Padding: strings.Repeat("p", 4<<10), Slots: 1024})
+	t.Cleanup(engine.Close)
+	backends := []e2etest.Backend{
+		{Server: "logbook-0", Kind: "service", URL: service.URL}, {Server: "engine-0", Kind: "engine", URL: engine.URL},
+	}
+	cluster, addresses, err := e2etest.NewCluster(ctx, e2etest.Config{Backends: backends, Logger: zerolog.Nop()})
 	must.NoError(t, err)
 	t.Cleanup(cluster.Close)
-	sidecar, err := cluster.StartSidecar(backend, addresses[0])
-	must.NoError(t, err)
-	t.Cleanup(func() {
-		sidecar.Kill()
-		<-sidecar.Done
-		cancel()
-	})
+	for n, b := range backends {
+		sidecar, err := cluster.StartSidecar(b, addresses[n])
+		must.NoError(t, err)
+		t.Cleanup(func() {
+			sidecar.Kill()
+			<-sidecar.Done
+		})
+	}
 	s, err := cluster.Settings(message.RoleEntry, "entry-0", "")
 	must.NoError(t, err)
 	data, err := json.Marshal(map[string]any{
@@ -57,6 +65,31 @@
 	return e
 }
 
+// serveCall answers with a short body, or with a long one by the last element of the path.
+func serveCall(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if strings.HasSuffix(r.URL.Path, "/large") {
+		_, _ = w.Write(bytes.Repeat([]byte("a"), answerBytes))
+		return
+	}
+	_, _ = io.WriteString(w, "done")
+}
+
+// unreadStream asks for a completion as a stream and does not read it.
+func unreadStream(t target) client {
+	return func(ctx context.Context, connection net.Conn) {
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(4 << 10)
+		}
+		body := string(e2etest.Completion(true))
+		if write(connection, t.begin(), fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)) {
+			holdUnread(ctx)
+		}
+	}
+}
+
 // checkServes fails the test unless an ordinary call of the service is answered.
 func (e *ownEntry) checkServes(t *testing.T) {
 	t.Helper()
@@ -102,6 +135,8 @@
 		{"whole bodies that are no completion", 48, wholeBodies(completion, entryBodyBytes)},
 		{"connections that send nothing", 1500, silent},
 		{"pipelined requests", 100, pipelined(get)},
+		{"answers that are not read", 490, unreadAnswer(ownTarget(http.MethodGet, "/v1/services/logbook/large"))},
+		{"streams that are not read", 490, unreadStream(completion)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := startEntry(t)
--- a/internal/decide/clientload/clientload.go
+++ b/internal/decide/clientload/clientload.go
@@ -216,15 +216,23 @@
 		l.act(Deny{Claim: m.ID, Never: true})
 		return
 	}
-	wait := requestWait
-	if m.Use == ForAnswer {
-		wait = answerWait
-	}
 	c.waiting++
-	l.queue = append(l.queue, &waitingClaim{Claim: m, holder: c, deadline: now.Add(wait)})
+	l.queue = append(l.queue, &waitingClaim{Claim: m, holder: c, deadline: now.Add(m.Use.maxWait())})
 	l.serveQueue(now)
 }
 
+// maxWait returns how long a claim waits.
+func (u Use) maxWait() time.Duration {
+	switch u {
+	case ForAnswer:
+		return answerWait
+	case ForHeldAnswer:
+		return 0
+	default:
+		return requestWait
+	}
+}
+
 // tooLarge reports whether a head or a body exceeds its own limit.
 func (l *Limiter) tooLarge(m Claim) bool {
 	return m.Use == ForHead && m.Size > l.config.HeadBytes || m.Use == ForBody && m.Size > l.config.BodyBytes
@@ -232,7 +240,7 @@
 
 // limit returns how many bytes may be in use after the claim.
 func (l *Limiter) limit(c *connection, m Claim) int64 {
-	if m.Use != ForAnswer && c.claimed+m.Bytes > smallBytes {
+	if (m.Use == ForHead || m.Use == ForBody) && c.claimed+m.Bytes > smallBytes {
 		return int64(largeShare * float64(l.config.Memory))
 	}
 	return l.config.Memory
@@ -255,12 +263,13 @@
 			l.used += w.Bytes
 			w.holder.claimed += w.Bytes
 			l.settle(now, w, Grant{Claim: w.ID})
-		case !now.Before(w.deadline):
-			l.settle(now, w, Deny{Claim: w.ID})
 		default:
-			blocked = max(blocked, limit)
 			missing = max(missing, l.used+w.Bytes-limit)
-			return false
+			if now.Before(w.deadline) {
+				blocked = max(blocked, limit)
+				return false
+			}
+			l.settle(now, w, Deny{Claim: w.ID})
 		}
 		return true
 	})
--- a/internal/decide/clientload/clientload_test.go
+++ b/internal/decide/clientload/clientload_test.go
@@ -204,7 +204,7 @@
 			case 7:
 				f.pass(time.Duration(rapid.IntRange(1, 40).Draw(r, "ticks")) * clientload.TickInterval)
 			default:
-				use := clientload.Use(rapid.IntRange(0, 2).Draw(r, "use"))
+				use := clientload.Use(rapid.IntRange(0, 3).Draw(r, "use"))
 				f.claim(id, int64(rapid.IntRange(1, 3*megabyte).Draw(r, "bytes")), use)
 			}
 			// Evicted connections close sooner or later.
--- a/internal/decide/clientload/message.go
+++ b/internal/decide/clientload/message.go
@@ -67,6 +67,9 @@
 	ForBody
 	// ForAnswer is memory for the answer to a request that has run.
 	ForAnswer
+	// ForHeldAnswer is memory for an answer that the process holds already, so that its
+	// claim does not wait.
+	ForHeldAnswer
 )
 
 // Action is what the caller of Step carries out.
--- a/internal/entry/activerequest.go
+++ b/internal/entry/activerequest.go
@@ -48,6 +48,8 @@
 	// after the sequence number after. No work is then offered.
 	attachTo ident.RequestID
 	after    uint64
+	// hangUp closes the connection of the client.
+	hangUp func()
 }
 
 // activeRequest is a request in flight.
@@ -64,14 +66,19 @@
 	// attached reader apart from those of the request itself.
 	offset ident.Attempt
 	// key identifies the current attempt in messages.
-	key            attemptKey
-	deliveries     chan delivery
-	readyPieces    [][]byte
-	firstSequence  uint64
-	queuedForFlush bool
-	lastPiece      []byte
-	done           *message.Done
-	uncredited     int64
+	key         attemptKey
+	deliveries  chan delivery
+	readyPieces [][]byte
+	// readyBytes is the size of readyPieces, deliveredBytes that of the pieces in deliveries
+	// or of those that the handler took last, and deliveredSince when the handler had taken
+	// everything before them.
+	readyBytes, deliveredBytes int64
+	deliveredSince             time.Time
+	firstSequence              uint64
+	queuedForFlush             bool
+	lastPiece                  []byte
+	done                       *message.Done
+	uncredited                 int64
 	// creditWaitSince is when the request began to wait for credit, or zero if it
 	// does not wait.
 	creditWaitSince time.Time
@@ -104,18 +111,19 @@
 
 // deliverReady passes the pieces that are in order, and the end if it is not nil, to
 // the handler.
-func (r *activeRequest) deliverReady(end *requestEnd) {
+func (r *activeRequest) deliverReady(now time.Time, end *requestEnd) {
 	if len(r.readyPieces) == 0 && end == nil {
 		return
 	}
-	r.deliver(delivery{id: r.id, first: r.firstSequence, pieces: r.readyPieces, end: end})
-	r.readyPieces = nil
+	r.deliver(now, delivery{id: r.id, first: r.firstSequence, pieces: r.readyPieces, end: end})
+	r.deliveredBytes += r.readyBytes
+	r.readyPieces, r.readyBytes = nil, 0
 }
 
 // deliver sends a delivery without blocking: the channel has room for one, and one
 // that was not received yet is merged with the new one. The dispatch task is the
 // only sender. Credit bounds the size of the merged delivery.
-func (r *activeRequest) deliver(d delivery) {
+func (r *activeRequest) deliver(now time.Time, d delivery) {
 	select {
 	case waiting := <-r.deliveries:
 		if len(waiting.pieces) > 0 {
@@ -123,6 +131,7 @@
 			d.pieces = append(waiting.pieces, d.pieces...)
 		}
 	default:
+		r.deliveredBytes, r.deliveredSince = 0, now
 	}
 	r.deliveries <- d
 }
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -130,7 +130,7 @@
 			writeUnfinished(w)
 			return
 		}
-		if !started && d.end != nil && answerWithoutStream(w, d) {
+		if !started && d.end != nil && answerWithoutStream(w, r, d) {
 			return
 		}
 		for _, piece := range d.pieces {
--- a/internal/entry/book.go
+++ b/internal/entry/book.go
@@ -34,6 +34,7 @@
 	}
 	select {
 	case b := <-end:
+		holdOrAbort(r, len(b.result.Body))
 		writeBooked(w, b)
 	case <-r.Context().Done():
 	case <-s.bookings.Closed():
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -113,9 +113,10 @@
 	notices    *task.Mailbox[message.Message]
 	// requestTags name the fingerprints of requests in the event log.
 	requestTags eventlog.RequestTags
+	held        heldAnswers
 }
 
-func newDispatch(p *picker, random *rand.Rand, instance ident.InstanceID, events *eventlog.Log, m *metrics) (*dispatch, error) {
+func newDispatch(p *picker, random *rand.Rand, instance ident.InstanceID, maxHeldBytes int64, events *eventlog.Log, m *metrics) (*dispatch, error) {
 	d := &dispatch{
 		mailbox: task.NewMailbox[dispatchMessage](dispatchCapacity, task.Block),
 		picker:  p, creditWaiters: make(creditWaiters), random: random, instance: instance,
@@ -124,6 +125,7 @@
 		events:  events, metrics: m,
 		notices:     task.NewMailbox[message.Message](noticeCapacity, task.DropOldest),
 		requestTags: eventlog.NewRequestTags(),
+		held:        heldAnswers{maxBytes: maxHeldBytes, ended: make(map[*activeRequest]struct{})},
 	}
 	d.initQuarantine()
 	var err error
@@ -250,7 +252,7 @@
 		case request.EndAttempt:
 			d.endAttempt(now, r, a)
 		case request.EndRequest:
-			d.endRequest(r, a)
+			d.endRequest(now, r, a)
 		}
 	}
 	d.schedule(r)
@@ -319,7 +321,8 @@
 	r.gapDeadline, r.done, r.uncredited = time.Time{}, nil, 0
 	if r.collect {
 		r.receiver.Restart()
-		r.readyPieces = nil
+		d.held.bytes -= r.readyBytes
+		r.readyPieces, r.readyBytes = nil, 0
 	}
 	r.receiver.Begin(a.Attempt)
 	d.attempts[r.key] = r
@@ -352,12 +355,15 @@
 	}
 }
 
-func (d *dispatch) endRequest(r *activeRequest, a request.EndRequest) {
+func (d *dispatch) endRequest(now time.Time, r *activeRequest, a request.EndRequest) {
 	if a.Outcome.Kind == outcome.Completed {
 		d.budget.Success()
 	}
 	d.metrics.requests.WithLabelValues(string(a.Outcome.Kind), string(a.Outcome.Reason)).Inc()
-	r.deliverReady(&requestEnd{outcome: a.Outcome, retryAfter: a.RetryAfter, done: r.done})
+	r.deliverReady(now, &requestEnd{outcome: a.Outcome, retryAfter: a.RetryAfter, done: r.done})
+	if r.deliveredBytes > 0 {
+		d.held.ended[r] = struct{}{}
+	}
 	d.endCreditWait(r)
 	delete(d.attempts, r.key)
 	delete(d.requests, r.ticket)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,9 @@
 	// partTimeout bounds the time between two parts of a request body, and the time in
 	// which a client takes a part of an answer.
 	partTimeout = 30 * time.Second
+	// heldShare divides the memory for clients: as much again as a half of it may be held in
+	// answers on their way to handlers.
+	heldShare = 2
 )
 
 // Options configures an entry.
@@ -121,7 +124,7 @@
 		return nil, err
 	}
 	picker := newPicker(uint64(p.incarnation)^rand.Uint64(), o.Settings)
-	if p.dispatch, err = newDispatch(picker, p.random(2), o.Settings.Instance, o.Events, p.metrics); err != nil {
+	if p.dispatch, err = newDispatch(picker, p.random(2), o.Settings.Instance, o.Settings.Limits.ClientBytes()/heldShare, o.Events, p.metrics); err != nil {
 		return nil, err
 	}
 	p.bookings = newBookings(p.random(6), o.Events, p.metrics)
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -27,7 +27,7 @@
 		for _, m := range e.Messages {
 			d.handleFrame(now, id, e.Link, m)
 		}
-		d.flush()
+		d.flush(now)
 	}
 }
 
@@ -63,7 +63,7 @@
 		}
 		d.handleBroken(now, r, request.LinkLost{Attempt: r.lifecycle.LatestAttempt()})
 	}
-	d.flush()
+	d.flush(now)
 }
 
 // handleFrame handles one message from a sidecar. Messages about attempts that are
@@ -116,7 +116,7 @@
 		return
 	}
 	if !r.lifecycle.Answering() {
-		r.deliver(delivery{id: r.id})
+		r.deliver(now, delivery{id: r.id})
 	}
 	d.advance(now, r, request.Progress{Attempt: attempt})
 }
@@ -154,7 +154,9 @@
 	d.queueFlush(r)
 	if r.receiver.Complete() {
 		d.advance(now, r, request.Completed{Attempt: attempt})
+		return
 	}
+	d.holdPieces(now, r, r.readyPieces[queued:])
 }
 
 // firstOutput reports to the picker how long the attempt took to its first output.
@@ -183,10 +185,10 @@
 
 // flush passes the pieces that arrived together to the handlers, in one delivery for
 // each request.
-func (d *dispatch) flush() {
+func (d *dispatch) flush(now time.Time) {
 	for n, r := range d.toFlush {
 		r.queuedForFlush = false
-		r.deliverReady(nil)
+		r.deliverReady(now, nil)
 		d.toFlush[n] = nil
 	}
 	d.toFlush = d.toFlush[:0]
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -122,6 +122,7 @@
 // submit submits a request to the dispatch task. If the task does not accept it,
 // submit answers the request itself and returns false.
 func (s *clientAPI) submit(w http.ResponseWriter, r *http.Request, sub submission) (submitReply, bool) {
+	sub.hangUp = clientconn.HangUp(r.Context())
 	answer, ok := task.Ask(context.WithoutCancel(r.Context()), s.dispatch, func(reply chan<- submitReply) dispatchMessage {
 		return submit{submission: sub, reply: reply}
 	})
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -8,6 +8,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/anvilpoint/anvilpoint/internal/clientconn"
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/message"
@@ -62,7 +63,7 @@
 		writeUnfinished(w)
 		return
 	}
-	answerService(w, end)
+	answerService(w, r, end)
 }
 
 func serviceSubmission(a record.Account, class record.Class, wanted record.Service, r *http.Request, path string, body []byte) submission {
@@ -92,24 +93,33 @@
 	return false
 }
 
-func answerService(w http.ResponseWriter, d delivery) {
+func answerService(w http.ResponseWriter, r *http.Request, d delivery) {
 	if d.end.outcome.Kind != outcome.Completed {
 		writeProblem(w, d.id, d.end.outcome, d.end.retryAfter)
 		return
 	}
-	writeVerbatim(w, d)
+	writeVerbatim(w, r, d)
 }
 
-// writeVerbatim writes a complete answer with its own status and headers.
-func writeVerbatim(w http.ResponseWriter, d delivery) {
-	h := w.Header()
-	for _, field := range d.end.done.Header {
-		h.Add(field[0], field[1])
+// holdOrAbort closes the connection without an answer if there is no memory for one of the
+// size in bytes. The request has run.
+func holdOrAbort(r *http.Request, size int) {
+	if clientconn.HoldAnswer(r.Context(), int64(size)) != nil {
+		panic(http.ErrAbortHandler)
 	}
+}
+
+// writeVerbatim writes a complete answer with its own status and headers.
+func writeVerbatim(w http.ResponseWriter, r *http.Request, d delivery) {
 	size := 0
 	for _, piece := range d.pieces {
 		size += len(piece)
 	}
+	holdOrAbort(r, size)
+	h := w.Header()
+	for _, field := range d.end.done.Header {
+		h.Add(field[0], field[1])
+	}
 	h.Set("Content-Length", strconv.Itoa(size))
 	h.Set(headerRequestID, string(d.id))
 	h.Set(headerOutcome, string(outcome.Completed))
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -41,7 +41,7 @@
 			return
 		}
 		if !out.started {
-			if d.end != nil && answerWithoutStream(w, d) {
+			if d.end != nil && answerWithoutStream(w, r, d) {
 				return
 			}
 			out.start(d.id)
@@ -71,13 +71,13 @@
 
 // answerWithoutStream answers a request that ended before its stream began, and
 // returns true: with a problem, or with an answer of the engine that is not 200.
-func answerWithoutStream(w http.ResponseWriter, d delivery) bool {
+func answerWithoutStream(w http.ResponseWriter, r *http.Request, d delivery) bool {
 	if d.end.outcome.Kind != outcome.Completed {
 		writeProblem(w, d.id, d.end.outcome, d.end.retryAfter)
 		return true
 	}
 	if done := d.end.done; done != nil && done.Status != http.StatusOK {
-		writeVerbatim(w, d)
+		writeVerbatim(w, r, d)
 		return true
 	}
 	return false
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -76,7 +76,7 @@
 		r.timerAt = time.Time{}
 		d.timerDue(now, r)
 	}
-	d.flush()
+	d.flush(now)
 }
 
 func (d *dispatch) timerDue(now time.Time, r *activeRequest) {
