httpclient: services, engines and stores are read as backend servers are

What callers saw: a service or an engine behind a sidecar that answered with an impossible status, or with a field name with a blank or a control byte, was taken for one that answers, as described for backend servers in docs/incidents/malformed-answers.md. Stores, the configuration service and the instance list were read the same way.

Cause: all of them were read through net/http's transport.

Change: package httpclient is an HTTP client over package answer. Whether an answer that ends with its connection is whole is decided by answer.End, in one copy for upstream and httpclient; the service's own check is gone.

--- a/internal/answer/body.go
+++ b/internal/answer/body.go
@@ -20,7 +20,7 @@
 	}
 	n, err := b.source.Read(p[:min(int64(len(p)), b.left)])
 	if b.left -= int64(n); b.left == 0 {
-		return n, nil
+		return n, io.EOF
 	}
 	return n, unexpected(err)
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -21,15 +21,13 @@
 
 // Service is a client of one plain service. It is immutable.
 type Service struct {
-	url     string
-	client  *http.Client
-	crashed func(context.Context) bool
+	url    string
+	client *http.Client
 }
 
-// New returns a client of the service at the base URL. Crashed reports whether the service
-// has crashed; it is asked after an answer whose end only the end of its connection marks.
-func New(url string, client *http.Client, crashed func(context.Context) bool) *Service {
-	return &Service{url: url, client: client, crashed: crashed}
+// New returns a client of the service at the base URL.
+func New(url string, client *http.Client) *Service {
+	return &Service{url: url, client: client}
 }
 
 // Call is one call of a plain service.
@@ -82,18 +80,9 @@
 	if len(body) > MaxAnswerBytes {
 		return Answer{}, ErrTooLarge
 	}
-	if endsWithConnection(response) && s.crashed(ctx) {
-		return Answer{}, errors.Errorf("service crashed within an answer with status %d", response.StatusCode)
-	}
 	return Answer{Status: response.StatusCode, Header: EndToEndHeader(response.Header), Body: body}, nil
 }
 
-// endsWithConnection reports whether only the end of the connection marks the end of the
-// answer, so that an answer that was broken off may look complete.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // EndToEndHeader returns the end-to-end header fields, in the form that messages carry.
 func EndToEndHeader(h http.Header) [][2]string {
 	var out [][2]string
--- a/internal/sidecar/booking_links.go
+++ b/internal/sidecar/booking_links.go
@@ -26,7 +26,7 @@
 	b.queue, b.events, b.metrics = p.queue.mailbox, p.options.Events, p.metrics
 	p.bookings = b
 	p.queue.bookings = &bookingCaller{
-		tasks: p.tasks, service: service.New(s.Backend.URL, source.NewClient(p.options.Network), p.crashProbe().crashed),
+		tasks: p.tasks, service: service.New(s.Backend.URL, source.NewClient(p.options.Network)),
 		bookings: b.mailbox, queue: p.queue.mailbox,
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -176,7 +176,7 @@
 	b := p.options.Settings.Backend
 	probe := p.crashProbe()
 	if b.Kind == "service" {
-		return serviceBackend{service: service.New(b.URL, client, probe.crashed), probe: probe}, serviceSlots
+		return serviceBackend{service: service.New(b.URL, client), probe: probe}, serviceSlots
 	}
 	p.engine = engine.New(b.URL, client)
 	return engineBackend{engine: p.engine, probe: probe}, initialEngineSlots
--- a/internal/source/instances.go
+++ b/internal/source/instances.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/anvilpoint/anvilpoint/internal/httpclient"
 	"github.com/anvilpoint/anvilpoint/internal/ident"
 	"github.com/anvilpoint/anvilpoint/internal/network"
 	"github.com/anvilpoint/anvilpoint/task"
@@ -100,12 +100,5 @@
 
 // NewClient returns an HTTP client that dials through the network.
 func NewClient(n network.Network) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return n.Dial(ctx, address)
-		},
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}}
+	return httpclient.New(httpclient.Config{Dial: n.Dial, MaxIdle: 256, IdleTimeout: time.Minute})
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -229,18 +229,11 @@
 }
 
 // endsProperly returns nil if an answer that ends with its connection, which has ended now,
-// is whole. A server that closes before it has read the request resets the connection.
+// is whole.
 func (x *exchange) endsProperly() error {
-	switch {
-	case !x.fullyWritten():
-		return errors.WithMessage(io.ErrUnexpectedEOF, "the connection ended before the request was written")
-	case network.WasReset(x.conn.socket):
-		return errors.WithMessage(io.ErrUnexpectedEOF, "the connection was reset")
-	case x.refusesConnections():
-		return errors.WithMessage(io.ErrUnexpectedEOF, "the server refuses connections")
-	default:
-		return nil
-	}
+	return answer.End{
+		RequestWritten: x.fullyWritten(), Connection: x.conn.socket, Dial: x.transport.Dial, Address: x.request.Address,
+	}.Check(x.ctx)
 }
 
 // failBeforeOutput reports a failure of an attempt that has no output, and whether the
