engine: a long error of an engine is not cut

What callers saw: an error of an engine of more than 64 KB came as its first 64 KB, as if that was all.

Cause: the body was read up to the limit without a look at what follows.

Change: a longer error is a failed call; the request may have run.

Evidence: TestLongErrorsAreNotCut fails on the code before for 64 KB and one byte, and for 1 MB, and passes now.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -105,10 +105,13 @@
 
 // statusError returns the answer as a StatusError.
 func statusError(response *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return errors.Wrapf(err, "read engine answer with status %d", response.StatusCode)
 	}
+	if len(body) > maxAnswerBytes {
+		return errors.Errorf("engine answer with status %d exceeds %d bytes", response.StatusCode, maxAnswerBytes)
+	}
 	return &StatusError{Status: response.StatusCode, Type: response.Header.Get(contentTypeHeader), Body: body}
 }
 
