operations: the listeners for operators and the platform are bounded, too

What callers saw: connections to the listeners for readiness, metrics and status, which whoever reaches the address can open, take the descriptors and the memory of a process as those to the listener for clients did.

Cause: the same; idle connections had no time limit there, either.

Change: operations.Serve accepts through clientconn, with 128 connections and 4 MB for each listener; an idle connection ends after two minutes. Links keep a listener without it, since they outlast their requests and may be in TLS.

Evidence: TestGatewayWithstandsCrowdsAtOtherListeners: 1,500 silent connections, 1,518 descriptors before and 147 now (bound 600); 24 clients with header lines without end, 422 MB before and 25 MB now (bound 96).

--- a/internal/clientcrowd/gateway_test.go
+++ b/internal/clientcrowd/gateway_test.go
@@ -29,7 +29,9 @@
 // hostedEntry is a gateway between a store and three replicas.
 type hostedEntry struct {
 	*process
-	address string
+	// address is where clients connect, ready where the platform asks for the readiness, and
+	// metrics where operators read metrics.
+	address, ready, metrics string
 }
 
 func startGateway(t *testing.T) *hostedEntry {
@@ -51,7 +53,7 @@
 	}
 	data, err := json.Marshal(settings)
 	must.NoError(t, err)
-	e := &hostedEntry{process: startProgram(t, "gateway", data), address: a[0]}
+	e := &hostedEntry{process: startProgram(t, "gateway", data), address: a[0], ready: a[1], metrics: a[3]}
 	e.waitUntil(t, "the entry is ready", func() bool { return isOK("http://" + a[1] + platform.ReadyPath) })
 	return e
 }
@@ -176,3 +178,26 @@
 		})
 	}
 }
+
+// Guards against connections to the other listeners of an entry that take its descriptors or
+// its memory.
+func TestGatewayWithstandsCrowdsAtOtherListeners(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		clients int
+		behave  client
+	}{
+		{"connections that send nothing", 1500, silent},
+		{"header lines without end", 24, endlessLines(target{method: http.MethodGet, path: platform.ReadyPath, host: replicaHost})},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := startGateway(t)
+			for _, address := range []string{e.ready, e.metrics} {
+				press(address, crowdSize(c.clients), c.behave)
+			}
+			e.waitUntil(t, "the entry answers that it is ready", func() bool { return isOK("http://" + e.ready + platform.ReadyPath) })
+			e.checkServes(t)
+			e.check(t)
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -247,8 +247,8 @@
 	p.group.Go("dispatch", p.dispatch.run)
 	p.group.Go("bookings", p.bookings.run)
 	p.serveClients(l.clients, clients.handler())
-	p.serveOn("link listener", link.Listener(l.links, p.certificates), func(ctx context.Context) http.Handler {
-		return link.Accept(ctx, p.config)
+	p.group.Go("link listener", func(ctx context.Context) error {
+		return operations.ServeLinks(ctx, link.Listener(l.links, p.certificates), link.Accept(ctx, p.config))
 	})
 	p.serveOn("operations listener", l.operations, func(context.Context) http.Handler {
 		router := operations.Handler(p.metrics.registry, p.readiness)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -254,7 +254,9 @@
 		router.GET(platform.ReadyPath, p.answerReady)
 		return router
 	})
-	p.serveHTTP("link listener", l.links, func(ctx context.Context) http.Handler { return link.Accept(ctx, p.links) })
+	p.group.Go("link listener", func(ctx context.Context) error {
+		return operations.ServeLinks(ctx, l.links, link.Accept(ctx, p.links))
+	})
 	p.serveHTTP("metrics listener", l.metrics, func(context.Context) http.Handler {
 		return operations.Handler(p.metrics.registry, p.readiness)
 	})
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -12,16 +12,27 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sourcegraph/conc"
 
+	"github.com/anvilpoint/anvilpoint/internal/clientconn"
+	"github.com/anvilpoint/anvilpoint/internal/decide/clientload"
 	"github.com/anvilpoint/anvilpoint/internal/network"
 )
 
 // headerTimeout bounds how long a client may take to send the header of a request.
 const headerTimeout = 10 * time.Second
 
-// maxHeadBytes is the maximum size of the head of a request. The callers are operators, the
-// platform and other processes, whose heads are short.
-const maxHeadBytes = 16 << 10
+const (
+	// maxHeadBytes is the maximum size of the head of a request. The callers are operators,
+	// the platform and other processes, whose heads are short.
+	maxHeadBytes = 16 << 10
+	// maxConnections is the maximum number of open connections, and maxMemory the maximum
+	// size in bytes of what they hold beyond their allowances.
+	maxConnections = 128
+	maxMemory      = 4 << 20
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 2 * time.Minute
+)
 
 // shutdownTimeout is how long requests in progress may take to finish when a server stops.
 const shutdownTimeout = 2 * time.Second
@@ -65,9 +76,27 @@
 }
 
 // Serve runs an HTTP server on the listener until the context ends. Requests in progress
-// then have shutdownTimeout to finish.
+// then have shutdownTimeout to finish. What its callers can make the process hold is bounded.
 func Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
-	return RunServer(ctx, l, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeadBytes})
+	limiter := clientconn.NewLimiter(clientload.Config{
+		Connections: maxConnections, Memory: maxMemory, HeadBytes: maxHeadBytes, BodyBytes: maxHeadBytes,
+	}, clientconn.NewMetrics(prometheus.NewRegistry()))
+	limited, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	// The limiter ends with its context only.
+	tasks.Go(func() { _ = limiter.Run(limited) })
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	clientconn.Prepare(server)
+	return RunServer(ctx, &clientconn.Listener{
+		Listener: l, Limiter: limiter, Timeouts: clientconn.Timeouts{Head: headerTimeout, Body: headerTimeout, Write: headerTimeout},
+	}, server)
+}
+
+// ServeLinks is Serve for the links of other processes, which outlast their requests.
+func ServeLinks(ctx context.Context, l net.Listener, handler http.Handler) error {
+	return RunServer(ctx, l, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes})
 }
 
 // RunServer is Serve for a server with timeouts and limits of its own.
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -146,7 +146,7 @@
 
 func (p *process) serve(links, metricsListener net.Listener) {
 	p.group.Go("link listener", func(ctx context.Context) error {
-		return operations.Serve(ctx, links, link.Accept(ctx, p.links))
+		return operations.ServeLinks(ctx, links, link.Accept(ctx, p.links))
 	})
 	p.group.Go("metrics listener", func(ctx context.Context) error {
 		return operations.Serve(ctx, metricsListener, operations.Handler(p.metrics.registry, p.ready))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -250,7 +250,7 @@
 		p.tasks.Go("bookings", p.bookings.run)
 	}
 	p.tasks.Go("link listener", func(ctx context.Context) error {
-		return operations.Serve(ctx, link.Listener(links, p.certificates), link.Accept(ctx, p.linkConfig))
+		return operations.ServeLinks(ctx, link.Listener(links, p.certificates), link.Accept(ctx, p.linkConfig))
 	})
 	p.tasks.Go("operations listener", func(ctx context.Context) error {
 		router := operations.Handler(p.metrics.registry, p.readiness)
