entry: requests whose answers were taken are forgotten

What was seen: since answers that are not taken are counted, an entry kept each request that had ended with an answer until the count reached its limit, which small answers hardly do.

Change: the last delivery of a request is kept on the count only over 16 KB, which is the allowance of the connection, and taken ones are removed at 64.

Evidence: TestEndedRequestsAreForgotten fails without the removal (320 of 640 kept) and passes now.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -361,9 +361,7 @@
 	}
 	d.metrics.requests.WithLabelValues(string(a.Outcome.Kind), string(a.Outcome.Reason)).Inc()
 	r.deliverReady(now, &requestEnd{outcome: a.Outcome, retryAfter: a.RetryAfter, done: r.done})
-	if r.deliveredBytes > 0 {
-		d.held.ended[r] = struct{}{}
-	}
+	d.holdEnded(r)
 	d.endCreditWait(r)
 	delete(d.attempts, r.key)
 	delete(d.requests, r.ticket)
--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -7,6 +7,14 @@
 	"github.com/anvilpoint/anvilpoint/internal/decide/stream"
 )
 
+const (
+	// uncountedBytes is the largest last delivery that is not counted.
+	uncountedBytes = 16 << 10
+	// maxEnded is the number of requests that have ended at which those whose answer was
+	// taken are forgotten.
+	maxEnded = 64
+)
+
 // heldAnswers bounds the pieces of answers that the dispatch task holds, for all clients
 // together. What a handler writes is counted with its connection (see package clientconn).
 type heldAnswers struct {
@@ -35,6 +43,18 @@
 	}
 }
 
+// holdEnded counts the last delivery of a request until its handler has taken it. A small one
+// fits into the allowance of the connection.
+func (d *dispatch) holdEnded(r *activeRequest) {
+	if r.deliveredBytes <= uncountedBytes {
+		return
+	}
+	d.held.ended[r] = struct{}{}
+	if len(d.held.ended) >= maxEnded {
+		d.countHeld()
+	}
+}
+
 // countHeld counts what is held.
 func (d *dispatch) countHeld() {
 	d.held.bytes = 0
--- a/internal/entry/held_test.go
+++ b/internal/entry/held_test.go
@@ -40,3 +40,16 @@
 	must.MapEmpty(t, d.held.ended)
 	must.Eq(t, collecting.readyBytes, d.held.bytes)
 }
+
+// Guards against requests that are kept after they have ended and their handlers have taken
+// the answers.
+func TestEndedRequestsAreForgotten(t *testing.T) {
+	d := &dispatch{held: heldAnswers{maxBytes: 1 << 30, ended: make(map[*activeRequest]struct{})}}
+	for n := range 10 * maxEnded {
+		r := &activeRequest{deliveries: make(chan delivery, 1), deliveredBytes: int64(n%2) * 100_000}
+		r.deliveries <- delivery{}
+		d.holdEnded(r)
+		<-r.deliveries
+	}
+	must.LessEq(t, maxEnded, len(d.held.ended))
+}
