entry: requests that have ended are freed before their timers are due

What callers saw: clients that pipeline many short requests take an entry of the product's own interface towards the memory of its instance: 101 MB with a bound of 96 (TestEntryWithstandsCrowds/pipelined_requests, beside load), with 56 MB of it live after 4 s and growing.

Cause: the heap of timers held each request until its deadline, 10 to 30 s after its end.

Change: an entry of the heap holds the ticket of its request, and entries to be ignored are removed when they are most of the heap.

Evidence: the same crowd peaks at 31 MB now. TestTimersOfEndedRequestsAre Removed fails without the removal (10,001 entries) and passes now.

--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -2,23 +2,31 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/anvilpoint/anvilpoint/internal/decide/request"
 	"github.com/anvilpoint/anvilpoint/internal/outcome"
 )
 
-// idleWait is how long the dispatch task waits when no timer runs.
-const idleWait = time.Minute
+const (
+	// idleWait is how long the dispatch task waits when no timer runs.
+	idleWait = time.Minute
+	// maxIgnoredTimers is the number of entries of the heap, beyond two a request, at which
+	// those to be ignored are removed.
+	maxIgnoredTimers = 1024
+)
 
-// timerEntry is the time at which a timer of the request is due.
+// timerEntry is the time at which a timer of the request is due. It holds the request by its
+// ticket, so that a request that has ended is freed before its timer is due.
 type timerEntry struct {
-	at      time.Time
-	request *activeRequest
+	at     time.Time
+	ticket ticket
 }
 
 // timerHeap orders the requests by their earliest timers. An entry that was replaced
-// by an earlier one stays until it is due and is then ignored.
+// by an earlier one, or whose request has ended, stays until it is due or until there are
+// too many, and is ignored.
 type timerHeap []timerEntry
 
 // Len implements heap.Interface.
@@ -62,15 +70,28 @@
 		return
 	}
 	r.timerAt = at
-	heap.Push(&d.timers, timerEntry{at: at, request: r})
+	heap.Push(&d.timers, timerEntry{at: at, ticket: r.ticket})
+	if len(d.timers) > 2*len(d.requests)+maxIgnoredTimers {
+		d.timers = slices.DeleteFunc(d.timers, func(e timerEntry) bool { return d.timedRequest(e) == nil })
+		heap.Init(&d.timers)
+	}
+}
+
+// timedRequest returns the request of an entry, or nil if the entry is to be ignored.
+func (d *dispatch) timedRequest(e timerEntry) *activeRequest {
+	r, active := d.requests[e.ticket]
+	if !active || !e.at.Equal(r.timerAt) {
+		return nil
+	}
+	return r
 }
 
 // tick runs the timers that are due.
 func (d *dispatch) tick(now time.Time) {
 	for len(d.timers) > 0 && !d.timers[0].at.After(now) {
 		e := heap.Pop(&d.timers).(timerEntry)
-		r := e.request
-		if r.lifecycle.Done() || !e.at.Equal(r.timerAt) {
+		r := d.timedRequest(e)
+		if r == nil {
 			continue
 		}
 		r.timerAt = time.Time{}
