entry: what is held is counted anew after each dropped answer

Found when the diff was read again: a handler may take a delivery between the count and the choice of the answer that is dropped. The count then stayed too high, so that further answers were dropped, and the task would have ended the process when none was left to drop.

Change: the count is made anew in each round, and a round without an answer to drop ends the loop.

Evidence: TestEntryWithstandsCrowds, answers and streams that are not read, and the tests of the package pass; the moment between the two steps is too short for a test to meet.

--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -34,12 +34,14 @@
 		r.readyBytes += stream.CreditCost(p)
 		d.held.bytes += stream.CreditCost(p)
 	}
-	if d.held.bytes <= d.held.maxBytes {
-		return
-	}
-	d.countHeld()
 	for d.held.bytes > d.held.maxBytes {
-		d.dropAnswer(now, d.leastTaken())
+		// Handlers take deliveries meanwhile, so it is counted anew after each one.
+		d.countHeld()
+		least := d.leastTaken()
+		if d.held.bytes <= d.held.maxBytes || least == nil {
+			return
+		}
+		d.dropAnswer(now, least)
 	}
 }
 
@@ -109,7 +111,6 @@
 	case <-r.deliveries:
 	default:
 	}
-	d.held.bytes -= r.readyBytes + r.deliveredBytes
 	r.readyPieces, r.readyBytes, r.deliveredBytes = nil, 0, 0
 	r.hangUp()
 	delete(d.held.ended, r)
