clientload: an unfinished head that holds memory gives way

What callers would see: heads of more than 16 KB that stop short of their end kept memory from other clients for the 10 s that a head may take, since only bodies and answers counted as stalled.

Change: a connection that waits for the rest of a head and holds claimed memory is stalled after 0.6 s like the others. Whatever ends the wait of a claim counts as progress, unless the client is to take an answer.

Evidence: TestUnfinishedHeadGivesWayToTheNextClaim fails on the code before and passes now.

--- a/internal/decide/clientload/clientload.go
+++ b/internal/decide/clientload/clientload.go
@@ -183,10 +183,12 @@
 	return least
 }
 
-// stalled reports whether the client has long kept the process waiting, for a part of a
-// request or to take a part of an answer.
+// stalled reports whether the client has long kept the process waiting: for the rest of a
+// request, or to take a part of an answer. A connection that waits for a head and holds
+// memory has a part of one.
 func (c *connection) stalled(now time.Time) bool {
-	awaited := c.lifecycle.In("receiving") && c.waiting == 0 || c.lifecycle.In("writing")
+	unfinished := c.lifecycle.In("receiving") || c.lifecycle.In("waiting") && c.claimed > 0
+	awaited := unfinished && c.waiting == 0 || c.lifecycle.In("writing")
 	return awaited && now.Sub(c.progressed) >= stallTime
 }
 
@@ -279,7 +281,7 @@
 // settle ends the wait of a claim.
 func (l *Limiter) settle(now time.Time, w *waitingClaim, a Action) {
 	w.holder.waiting--
-	if w.holder.lifecycle.In("receiving") {
+	if !w.holder.lifecycle.In("writing") {
 		w.holder.progressed = now
 	}
 	l.act(a)
--- a/internal/decide/clientload/clientload_test.go
+++ b/internal/decide/clientload/clientload_test.go
@@ -122,6 +122,21 @@
 	must.True(t, f.granted[next])
 }
 
+// Guards against heads that stop short of their end and keep the memory from the next client.
+func TestUnfinishedHeadGivesWayToTheNextClaim(t *testing.T) {
+	f := newFixture(10, megabyte)
+	for id := clientload.ConnectionID(1); id <= 4; id++ {
+		f.step(clientload.Opened{Connection: id})
+		must.True(t, f.granted[f.claim(id, 250*kilobyte, clientload.ForHead)])
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	next := f.upload(5, 100*kilobyte)
+	f.pass(700 * time.Millisecond)
+	must.Eq(t, []clientload.ConnectionID{1}, f.closed)
+	f.step(clientload.Closed{Connection: 1})
+	must.True(t, f.granted[next])
+}
+
 // Guards against an answer that its client does not read and that keeps the memory, and
 // against cutting off one whose backend server is slow.
 func TestUnreadAnswerGivesWay(t *testing.T) {
