answer: the writer of a request is awaited before an answer is judged

Cause: a server may have answered before the goroutine that wrote the request has reported that it is done. The request then counted as not written: the connection was not used again and, worse, an answer without a length would have been refused as cut off.

--- a/internal/httpclient/exchange.go
+++ b/internal/httpclient/exchange.go
@@ -28,8 +28,8 @@
 	// written.
 	writer  conc.WaitGroup
 	written chan error
-	// sent is set once the whole request is known to have been written.
-	sent bool
+	// awaited is set once the writer was awaited, sent if the whole request was written.
+	awaited, sent bool
 }
 
 // exchange sends a request and reads the head of its answer.
@@ -70,12 +70,8 @@
 
 // fullyWritten reports whether the whole request has been written.
 func (x *exchange) fullyWritten() bool {
-	if !x.sent {
-		select {
-		case err := <-x.written:
-			x.sent = err == nil
-		default:
-		}
+	if !x.awaited {
+		x.awaited, x.sent = true, answer.Written(x.written)
 	}
 	return x.sent
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -189,8 +189,8 @@
 	// writer is the goroutine that writes a long request; it sends the result to written.
 	writer  conc.WaitGroup
 	written chan error
-	// sent is set once the complete request is known to have been written.
-	sent bool
+	// awaited is set once the writer was awaited, sent if the complete request was written.
+	awaited, sent bool
 	// eventBytes is the size of the largest event for which memory is reserved.
 	eventBytes int
 }
@@ -273,13 +273,11 @@
 // fullyWritten reports whether the complete request has been written. If not, the
 // server would read the next request on the connection as the rest of this one.
 func (x *exchange) fullyWritten() bool {
-	if x.written == nil || x.sent {
+	if x.written == nil {
 		return true
 	}
-	select {
-	case err := <-x.written:
-		x.sent = err == nil
-	default:
+	if !x.awaited {
+		x.awaited, x.sent = true, answer.Written(x.written)
 	}
 	return x.sent
 }
