--- /dev/null
+++ b/review/_world3/replica.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// replicaEvent is what a replica's process tells the test on its standard output.
+type replicaEvent struct {
+	Replica string    `json:"replica"`
+	Event   string    `json:"event"`
+	Request string    `json:"request,omitempty"`
+	At      time.Time `json:"at"`
+}
+
+// runReplica is the main function of a replica's process: a stand-in of a backend server.
+func runReplica(args []string) {
+	flags := flag.NewFlagSet("replica", flag.ExitOnError)
+	id := flags.String("id", "", "instance id")
+	listen := flags.String("listen", "127.0.0.1:0", "address")
+	mode := flags.String("mode", "plain", "plain, unframed or stream")
+	deadly := flags.String("deadly", "", "prompt part that crashes the replica as it writes an answer")
+	check(flags.Parse(args))
+	// The end of the test's process closes the pipe.
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(0)
+	}()
+	l, err := net.Listen("tcp", *listen)
+	check(err)
+	var mu sync.Mutex
+	encoder := json.NewEncoder(os.Stdout)
+	tell := func(event, request string) {
+		mu.Lock()
+		defer mu.Unlock()
+		_ = encoder.Encode(replicaEvent{Replica: *id, Event: event, Request: request, At: time.Now()})
+	}
+	tell("listening "+l.Addr().String(), "")
+	var running atomic.Int64
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		request := r.Header.Get(names["id"])
+		h := w.Header()
+		h.Set(names["id"], request)
+		if expected := r.Header.Get(names["expect"]); expected != "" && expected != *id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		tell("reached", request)
+		tell("run", request)
+		running.Add(1)
+		defer running.Add(-1)
+		h.Set(names["seal"], "seal."+request)
+		h.Set(names["load"], fmt.Sprintf("%d,0,8", running.Load()))
+		switch *mode {
+		case "unframed":
+			writeUnframed(w, request, *id, tell)
+		case "stream":
+			writeStream(w, r, *deadly, request, tell)
+		default:
+			time.Sleep(5 * time.Millisecond)
+			h.Set("Content-Type", "text/plain")
+			_, _ = fmt.Fprintf(w, "%s %s %d", *id, request, len(body))
+		}
+		tell("answered", request)
+	})
+	check(http.Serve(l, handler))
+}
+
+// answerHalf is the size of each half of an unframed answer.
+const answerHalf = 2000
+
+// unframedBody returns the whole body of an unframed answer.
+func unframedBody(request string) string {
+	return strings.Repeat("a", answerHalf) + request + strings.Repeat("b", answerHalf)
+}
+
+// writeUnframed writes an answer with neither a length nor chunks, which ends with its
+// connection, in two parts.
+func writeUnframed(w http.ResponseWriter, request, id string, tell func(event, request string)) {
+	socket, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer socket.Close()
+	time.Sleep(20 * time.Millisecond)
+	body := unframedBody(request)
+	_, _ = fmt.Fprintf(socket, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s.%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n%s",
+		names["id"], request, names["seal"], id, request, body[:answerHalf])
+	tell("half", request)
+	time.Sleep(400 * time.Millisecond)
+	_, _ = io.WriteString(socket, body[answerHalf:])
+}
+
+// streamEvents is the number of events of a stream.
+const streamEvents = 6
+
+// writeStream writes a stream. If the prompt has the deadly part, the process crashes once it
+// has begun to write the answer.
+func writeStream(w http.ResponseWriter, r *http.Request, deadly, request string, tell func(event, request string)) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	first := 1
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		_, _ = fmt.Sscan(last, &first)
+		first++
+	}
+	for n := first; n <= streamEvents; n++ {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+		_ = http.NewResponseController(w).Flush()
+		if deadly != "" && strings.Contains(r.Header.Get(names["parts"]), deadly+":") {
+			tell("crashed", request)
+			os.Exit(3)
+		}
+	}
+}
+
+// replica is a replica's process as the test sees it.
+type replica struct {
+	id, address string
+	process     *exec.Cmd
+	stdin       io.WriteCloser
+	ended       chan struct{}
+}
+
+// startReplica starts a replica's process. Observe gets its events, from one goroutine.
+func startReplica(observe func(replicaEvent), id, listen string, args ...string) *replica {
+	r := &replica{id: id, ended: make(chan struct{})}
+	r.process = exec.Command(os.Args[0], append([]string{"replica", "-id", id, "-listen", listen}, args...)...)
+	r.process.Stderr = os.Stderr
+	stdin, err := r.process.StdinPipe()
+	check(err)
+	r.stdin = stdin
+	out, err := r.process.StdoutPipe()
+	check(err)
+	check(r.process.Start())
+	started(r.process)
+	lines := bufio.NewScanner(out)
+	if !lines.Scan() {
+		check(fmt.Errorf("replica %s did not start", id))
+	}
+	var first replicaEvent
+	check(json.Unmarshal(lines.Bytes(), &first))
+	r.address = strings.TrimPrefix(first.Event, "listening ")
+	go func() {
+		defer close(r.ended)
+		for lines.Scan() {
+			var e replicaEvent
+			if json.Unmarshal(lines.Bytes(), &e) == nil {
+				observe(e)
+			}
+		}
+		_ = r.process.Wait()
+	}()
+	return r
+}
+
+// register writes the replica's entry to the store.
+func (r *replica) register(s *store, service, state string, born time.Time, sequence int) {
+	s.put("servers/"+r.id, map[string]any{
+		"service": service, "address": r.address, "zone": "z1", "version": "v1", "slots": 8, "state": state,
+		"coldRemainingMs": 0, "sequence": sequence, "born": born.UnixMilli(),
+	})
+}
