--- a/review/_world3/replica.go
+++ b/review/_world3/replica.go
@@ -29,7 +29,8 @@
 	flags := flag.NewFlagSet("replica", flag.ExitOnError)
 	id := flags.String("id", "", "instance id")
 	listen := flags.String("listen", "127.0.0.1:0", "address")
-	mode := flags.String("mode", "plain", "plain, unframed or stream")
+	mode := flags.String("mode", "plain", "plain, work, unframed or stream")
+	leaving := flags.String("leaving-file", "", "file that exists once the replica is leaving")
 	deadly := flags.String("deadly", "", "prompt part that crashes the replica as it writes an answer")
 	check(flags.Parse(args))
 	// The end of the test's process closes the pipe.
@@ -66,7 +67,13 @@
 		defer running.Add(-1)
 		h.Set(names["seal"], "seal."+request)
 		h.Set(names["load"], fmt.Sprintf("%d,0,8", running.Load()))
+		if _, err := os.Stat(*leaving); *leaving != "" && err == nil {
+			h.Set("Server-Leaving", "1")
+		}
 		switch *mode {
+		case "work":
+			time.Sleep(workTime)
+			_, _ = fmt.Fprintf(w, "%s %s", *id, request)
 		case "unframed":
 			writeUnframed(w, request, *id, tell)
 		case "stream":
@@ -81,6 +88,9 @@
 	check(http.Serve(l, handler))
 }
 
+// workTime is how long a request runs in mode work.
+const workTime = 400 * time.Millisecond
+
 // answerHalf is the size of each half of an unframed answer.
 const answerHalf = 2000
 
--- a/review/_world3/store.go
+++ b/review/_world3/store.go
@@ -19,6 +19,8 @@
 	history  []item
 	changed  chan struct{}
 	address  string
+	// waiting is the number of watch calls for the list of servers that wait for a change.
+	waiting int
 }
 
 type item struct {
@@ -120,12 +122,37 @@
 			reply(w, map[string]any{"events": events, "storeRevision": revision})
 			return
 		}
+		s.countWaiting(r, 1)
 		select {
 		case <-changed:
+			s.countWaiting(r, -1)
 		case <-timeout:
+			s.countWaiting(r, -1)
 			reply(w, map[string]any{"events": events, "storeRevision": revision})
 			return
 		case <-r.Context().Done():
+			s.countWaiting(r, -1)
+			return
+		}
+	}
+}
+
+// countWaiting counts a watch call that waits, if it is for the list of servers.
+func (s *store) countWaiting(r *http.Request, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.URL.Query().Get("prefix") == "servers/" {
+		s.waiting += n
+	}
+}
+
+// awaitWatch waits until a watch call for the list of servers waits for a change.
+func (s *store) awaitWatch() {
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		waiting := s.waiting > 0
+		s.mu.Unlock()
+		if waiting {
 			return
 		}
 	}
