--- a/review/_world3/main.go
+++ b/review/_world3/main.go
@@ -5,13 +5,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -76,6 +80,11 @@
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
 	check(err)
 	r := &record{file: file, begin: time.Now()}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	go func() {
+		check(fmt.Errorf("ended by signal %v", <-signals))
+	}()
 	time.AfterFunc(115*time.Second, func() { check(fmt.Errorf("the case took too long")) })
 	broken := play(r, os.Getenv("TROUBLE") != "0")
 	endAll()
@@ -94,11 +103,25 @@
 	clients, ready, links string
 }
 
+// The ports of the project's processes are below those that the system gives to outgoing
+// connections, which could take a port before its process listens.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+// freeAddress returns an address on which nothing listens.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	check(errors.New("no free port"))
+	return ""
 }
 
 // newEntry chooses the addresses of an entry.
