--- a/review/_world3/drain.go
+++ b/review/_world3/drain.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	drainTime = 2 * time.Second
+	contactTime = 3 * time.Second
+	drainTime   = 2 * time.Second
 	// lingerTime is how long a server that leaves serves beyond drainTime.
 	lingerTime = 1500 * time.Millisecond
 )
--- a/review/_world3/main.go
+++ b/review/_world3/main.go
@@ -70,7 +70,7 @@
 		return
 	}
 	cases := map[string]func(r *record, trouble bool) (broken bool){
-		"silent": playSilent, "freeze": playFreeze, "deadly": playDeadly, "drain": playDrain, "maps": playMaps,
+		"freeze": playFreeze, "deadly": playDeadly, "drain": playDrain, "maps": playMaps,
 	}
 	play := cases[os.Args[1]]
 	if play == nil || len(os.Args) < 3 {
--- a/review/_world3/proxy.go
+++ b/review/_world3/proxy.go
@@ -3,8 +3,23 @@
 import (
 	"net"
 	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
+// dropAll makes the system drop all packets that arrive for a connection, so that they are
+// not acknowledged.
+func dropAll(c net.Conn) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	check(err)
+	check(raw.Control(func(fd uintptr) {
+		// The only instruction of the filter returns the length 0.
+		filter := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+		check(unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &filter[0]}))
+	}))
+}
+
 // proxy forwards connections to an address. Its open connections can go silent for good;
 // new ones then work.
 type proxy struct {
@@ -46,8 +61,7 @@
 	return p
 }
 
-// copy forwards one direction. A silent connection takes bytes and forwards neither them
-// nor its end.
+// copy forwards one direction. A silent connection forwards neither bytes nor its end.
 func (p *proxy) copy(one *pair, from, to net.Conn) {
 	buffer := make([]byte, 64<<10)
 	for {
@@ -79,6 +93,7 @@
 		one.mu.Lock()
 		one.silent = true
 		one.mu.Unlock()
+		dropAll(one.client)
 	}
 	n := len(p.open)
 	return n
