--- a/review/_world3/main.go
+++ b/review/_world3/main.go
@@ -70,7 +70,7 @@
 		return
 	}
 	cases := map[string]func(r *record, trouble bool) (broken bool){
-		"freeze": playFreeze, "deadly": playDeadly, "drain": playDrain, "maps": playMaps,
+		"deadly": playDeadly, "drain": playDrain, "born": playBorn, "maps": playMaps, "newpart": playNewPart,
 	}
 	play := cases[os.Args[1]]
 	if play == nil || len(os.Args) < 3 {
@@ -171,16 +171,25 @@
 	}
 }
 
-// configure publishes a configuration.
+// configure publishes a configuration without tenants.
 func (s *store) configure(version int, services []string, routes ...map[string]any) {
+	s.configureWith(version, services, nil, routes...)
+}
+
+// configureWith publishes a configuration.
+func (s *store) configureWith(version int, services []string, tenants []any, routes ...map[string]any) {
 	var list []map[string]any
 	for _, name := range services {
 		list = append(list, map[string]any{"name": name, "healthPath": "/health", "maxConnections": 200})
 	}
-	s.put("op/config", map[string]any{
+	document := map[string]any{
 		"version": version, "routes": routes, "services": list,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 15000},
-	})
+	}
+	if tenants != nil {
+		document["tenants"] = tenants
+	}
+	s.put("op/config", document)
 }
 
 // newRequest returns a client's request.
