--- a/review/_world3/replica.go
+++ b/review/_world3/replica.go
@@ -29,7 +29,7 @@
 	flags := flag.NewFlagSet("replica", flag.ExitOnError)
 	id := flags.String("id", "", "instance id")
 	listen := flags.String("listen", "127.0.0.1:0", "address")
-	mode := flags.String("mode", "plain", "plain, work, unframed or stream")
+	mode := flags.String("mode", "work", "work or stream")
 	leaving := flags.String("leaving-file", "", "file that exists once the replica is leaving")
 	deadly := flags.String("deadly", "", "prompt part that crashes the replica as it writes an answer")
 	early := flags.Bool("deadly-early", false, "crash before the first byte of the answer")
@@ -52,8 +52,7 @@
 	tell("listening "+l.Addr().String(), "")
 	var running atomic.Int64
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
 		request := r.Header.Get(names["id"])
@@ -76,8 +75,6 @@
 		case "work":
 			time.Sleep(workTime)
 			_, _ = fmt.Fprintf(w, "%s %s", *id, request)
-		case "unframed":
-			writeUnframed(w, request, *id, tell)
 		case "stream":
 			time.Sleep(time.Duration(*firstMS) * time.Millisecond)
 			isDeadly := *deadly != "" && strings.Contains(r.Header.Get(names["parts"]), *deadly+":")
@@ -87,10 +84,6 @@
 			}
 			tell("begun", request)
 			writeStream(w, r, isDeadly, request, tell)
-		default:
-			time.Sleep(5 * time.Millisecond)
-			h.Set("Content-Type", "text/plain")
-			_, _ = fmt.Fprintf(w, "%s %s %d", *id, request, len(body))
 		}
 		tell("answered", request)
 	})
@@ -100,31 +93,6 @@
 // workTime is how long a request runs in mode work.
 const workTime = 400 * time.Millisecond
 
-// answerHalf is the size of each half of an unframed answer.
-const answerHalf = 2000
-
-// unframedBody returns the whole body of an unframed answer.
-func unframedBody(request string) string {
-	return strings.Repeat("a", answerHalf) + request + strings.Repeat("b", answerHalf)
-}
-
-// writeUnframed writes an answer with neither a length nor chunks, which ends with its
-// connection, in two parts.
-func writeUnframed(w http.ResponseWriter, request, id string, tell func(event, request string)) {
-	socket, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer socket.Close()
-	time.Sleep(20 * time.Millisecond)
-	body := unframedBody(request)
-	_, _ = fmt.Fprintf(socket, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s.%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n%s",
-		names["id"], request, names["seal"], id, request, body[:answerHalf])
-	tell("half", request)
-	time.Sleep(400 * time.Millisecond)
-	_, _ = io.WriteString(socket, body[answerHalf:])
-}
-
 // streamEvents is the number of events of a stream.
 const streamEvents = 6
 
