--- a/review/_world3/newpart.go
+++ b/review/_world3/newpart.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	maxRounds = 4
 	// oldPart and newPart are the parts that all prompts share before and after the change of
 	// the clients' instructions.
 	oldPart, newPart = "aa000001", "bb000002"
@@ -20,9 +21,21 @@
 	pressed = 24
 )
 
-// playNewPart lets the clients of one key change the part that all their prompts share. The
-// first requests with the new part include some with a deadly part, at several servers.
+// playNewPart plays up to maxRounds rounds, each with new servers and entries, until one breaks
+// the rule.
 func playNewPart(r *record, trouble bool) bool {
+	for range maxRounds {
+		if playNewPartRound(r, trouble) {
+			return true
+		}
+		endAll()
+	}
+	return false
+}
+
+// playNewPartRound lets the clients of one key change the part that all their prompts share.
+// The first requests with the new part include some with a deadly part, at several servers.
+func playNewPartRound(r *record, trouble bool) bool {
 	folder, err := os.MkdirTemp("", "world3-")
 	check(err)
 	defer os.RemoveAll(folder)
@@ -108,9 +121,9 @@
 		go func(n int) { defer clients.Done(); send(n, shared, bad) }(n)
 	}
 	begin := time.Now()
-	for time.Since(begin) < 8*time.Second {
+	for time.Since(begin) < 4*time.Second {
 		spawn(oldPart, false)
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(15 * time.Millisecond)
 	}
 	change := time.Now()
 	r.printf("the clients change the part that their prompts share")
@@ -118,13 +131,13 @@
 		spawn(newPart, trouble && i%2 == 0)
 	}
 	last := time.Now()
-	for time.Since(change) < 30*time.Second {
+	for time.Since(change) < 14*time.Second {
 		spawn(newPart, false)
-		if trouble && time.Since(last) > time.Second {
+		if trouble && time.Since(last) > 1500*time.Millisecond {
 			last = time.Now()
 			spawn(newPart, true)
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(15 * time.Millisecond)
 	}
 	clients.Wait()
 	cancel()
