--- a/review/_world3/deadly.go
+++ b/review/_world3/deadly.go
@@ -16,6 +16,8 @@
 	// restartTime is how long a crashed server is away.
 	restartTime = 3 * time.Second
 	groupSize   = 6
+	// deadlyEvery is the number of requests of which one has the deadly part: a share of 0.029.
+	deadlyEvery = 34
 )
 
 // playDeadly sends requests with a prompt part that crashes each server which begins to write
@@ -93,14 +95,15 @@
 		}
 		r.printf("request %s with the deadly part got status %d and %d events", id, status, events)
 	}
-	const length = 40 * time.Second
+	const length = 34 * time.Second
 	var clients sync.WaitGroup
 	begin := time.Now()
 	for n := 1; time.Since(begin) < length; n++ {
 		clients.Add(1)
-		bad := trouble && n%10 == 0 && time.Since(begin) > 3*time.Second
+		since := time.Since(begin)
+		bad := trouble && n%deadlyEvery == 0 && since > 3*time.Second && since < 23*time.Second
 		go func() { defer clients.Done(); send(n, bad) }()
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
 	clients.Wait()
 	cancel()
--- a/review/_world3/drain.go
+++ b/review/_world3/drain.go
@@ -14,6 +14,8 @@
 	drainTime   = 2 * time.Second
 	// lingerTime is how long a server that leaves serves beyond drainTime.
 	lingerTime = 1500 * time.Millisecond
+	// serverCount is the number of servers, of which one leaves at a time.
+	serverCount = 8
 )
 
 // playDrain makes the open connections to the store go silent. A third of a second later a
@@ -57,8 +59,15 @@
 		one.register(s, "app", "ready", time.Now(), 1)
 		return one, file
 	}
-	old, oldFile := boot()
-	other, otherFile := boot()
+	type server struct {
+		*replica
+		file string
+	}
+	var servers []server
+	for range serverCount {
+		one, file := boot()
+		servers = append(servers, server{one, file})
+	}
 	go func() {
 		for sequence := 2; ; sequence++ {
 			time.Sleep(1200 * time.Millisecond)
@@ -117,13 +126,13 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 		mu.Lock()
-		listed.Delete(old)
-		check(os.WriteFile(oldFile, nil, 0o600))
-		s.remove("servers/" + old.id)
-		ackedAt, leaving = time.Now(), old.id
+		gone := servers[0]
+		listed.Delete(gone.replica)
+		check(os.WriteFile(gone.file, nil, 0o600))
+		s.remove("servers/" + gone.id)
+		ackedAt, leaving = time.Now(), gone.id
 		mu.Unlock()
-		r.printf("the store acknowledges that server %s leaves", old.id)
-		gone := old
+		r.printf("the store acknowledges that server %s leaves", gone.id)
 		time.AfterFunc(drainTime+lingerTime, func() {
 			r.printf("server %s exits", gone.id)
 			_ = gone.process.Process.Kill()
@@ -134,8 +143,8 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		clients.Wait()
-		old, oldFile = other, otherFile
-		other, otherFile = boot()
+		one, file := boot()
+		servers = append(servers[1:], server{one, file})
 		time.Sleep(2 * time.Second)
 	}
 	r.printf("%d requests reached a server later than %s after the ack of its leaving; %d of %d requests were not served", late, drainTime, unanswered, n)
