--- a/review/_world3/born.go
+++ b/review/_world3/born.go
@@ -19,8 +19,7 @@
 // and start again under its id. Seconds later the server is drained. Clients come again once it
 // has drained for longer than drainTime.
 func playBorn(r *record, trouble bool) bool {
-	folder, err := os.MkdirTemp("", "world3-")
-	check(err)
+	folder := newFolder()
 	defer os.RemoveAll(folder)
 	s := newStore()
 	s.configure(10, []string{"app"}, route("book", "unsafe", "app", 1, 2000))
--- a/review/_world3/deadly.go
+++ b/review/_world3/deadly.go
@@ -23,8 +23,7 @@
 // playDeadly sends requests with a prompt part that crashes each server which begins to write
 // an answer to them, beside sound ones.
 func playDeadly(r *record, trouble bool) bool {
-	folder, err := os.MkdirTemp("", "world3-")
-	check(err)
+	folder := newFolder()
 	defer os.RemoveAll(folder)
 	s := newStore()
 	s.configure(10, []string{"llm"}, route("ask", "streaming", "llm", 2, 8000))
--- a/review/_world3/drain.go
+++ b/review/_world3/drain.go
@@ -23,8 +23,7 @@
 // in all its answers that it is leaving, and exits. Clients come again once the entry has been
 // in touch for contactTime.
 func playDrain(r *record, trouble bool) bool {
-	folder, err := os.MkdirTemp("", "world3-")
-	check(err)
+	folder := newFolder()
 	defer os.RemoveAll(folder)
 	s := newStore()
 	p := newProxy(s.address)
--- a/review/_world3/main.go
+++ b/review/_world3/main.go
@@ -23,10 +23,24 @@
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "world3:", err)
 		endAll()
+		for _, folder := range folders {
+			_ = os.RemoveAll(folder)
+		}
 		os.Exit(2)
 	}
 }
 
+// folders are the temporary folders of this run.
+var folders []string
+
+// newFolder makes a temporary folder.
+func newFolder() string {
+	folder, err := os.MkdirTemp("", "world3-")
+	check(err)
+	folders = append(folders, folder)
+	return folder
+}
+
 var (
 	processesMu sync.Mutex
 	processes   []*exec.Cmd
@@ -110,14 +124,27 @@
 	portCount = 18000
 )
 
-// freeAddress returns an address on which nothing listens.
+// reserved holds the listeners that keep the addresses taken until release.
+var reserved = make(map[string]net.Listener)
+
+// release frees the addresses for the process that is to listen there.
+func release(addresses ...string) {
+	for _, a := range addresses {
+		if l := reserved[a]; l != nil {
+			_ = l.Close()
+		}
+		delete(reserved, a)
+	}
+}
+
+// freeAddress returns an address on which nothing else listens. It is kept taken until release.
 func freeAddress() string {
 	for range 1000 {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
 		if err != nil {
 			continue
 		}
-		defer l.Close()
+		reserved[l.Addr().String()] = l
 		return l.Addr().String()
 	}
 	check(errors.New("no free port"))
@@ -132,9 +159,10 @@
 // start starts the entry with settings as deploy/entry.settings.json gives them, and waits
 // until it is ready.
 func (e *entry) start(folder, name, store string, seeds []string) {
+	metrics := freeAddress()
 	settings := map[string]any{
 		"role": "entry", "instance": name, "failure_domain": "z1", "region": "r1", "listen": e.clients,
-		"ready_listen": e.ready, "link_listen": e.links, "metrics_listen": freeAddress(), "seeds": seeds,
+		"ready_listen": e.ready, "link_listen": e.links, "metrics_listen": metrics, "seeds": seeds,
 		"store": store, "grace": "8s", "retry_ratio": 0.2, "retry_slack": 188, "retry_window": "10s",
 	}
 	data, err := json.Marshal(settings)
@@ -146,6 +174,7 @@
 	log, err := os.Create(filepath.Join(folder, name+".log"))
 	check(err)
 	e.process.Stdout, e.process.Stderr = log, log
+	release(e.clients, e.ready, e.links, metrics)
 	check(e.process.Start())
 	started(e.process)
 	for until := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
--- a/review/_world3/maps.go
+++ b/review/_world3/maps.go
@@ -13,8 +13,7 @@
 // playMaps lets an engine leave an arm order unanswered and carry it out late, while a second
 // copy of an earlier answer arrives late on the connection.
 func playMaps(r *record, trouble bool) bool {
-	folder, err := os.MkdirTemp("", "world3-")
-	check(err)
+	folder := newFolder()
 	defer os.RemoveAll(folder)
 	hosts := []string{"127.0.0.2", "127.0.0.3", "127.0.0.4"}
 	g := newEngineGroup(r, hosts)
@@ -44,9 +43,11 @@
 			list(sequence)
 		}
 	}()
-	_, links, err := net.SplitHostPort(freeAddress())
+	linkAddress, metricsAddress := freeAddress(), freeAddress()
+	release(linkAddress, metricsAddress)
+	_, links, err := net.SplitHostPort(linkAddress)
 	check(err)
-	_, metrics, err := net.SplitHostPort(freeAddress())
+	_, metrics, err := net.SplitHostPort(metricsAddress)
 	check(err)
 	for rank, host := range hosts {
 		startSidecar(folder, fmt.Sprintf("side-%d", rank+1), map[string]any{
--- a/review/_world3/newpart.go
+++ b/review/_world3/newpart.go
@@ -36,8 +36,7 @@
 // playNewPartRound lets the clients of one key change the part that all their prompts share.
 // The first requests with the new part include some with a deadly part, at several servers.
 func playNewPartRound(r *record, trouble bool) bool {
-	folder, err := os.MkdirTemp("", "world3-")
-	check(err)
+	folder := newFolder()
 	defer os.RemoveAll(folder)
 	s := newStore()
 	s.configureWith(10, []string{"llm"}, []any{map[string]any{"name": "tenant-1", "apiKeys": []string{"key-1"}}}, route("ask", "streaming", "llm", 2, 8000))
